--- /dev/null
+++ b/internal/simwire/names.go
@@ -0,0 +1,45 @@
+package simwire
+
+import "strings"
+
+// words renames the parts of a setting's path, and its values, from the wire's words to the project's.
+var words = map[string]string{
+	"classes": "methods", "target_us": "soft_deadline", "hard_limit_us": "limit", "points": "utility",
+	"late_worth": "late_utility", "window_us": "window", "safe": "idempotent", "keyed": "tokened",
+	"unsafe": "non-idempotent", "cell": "group", "group": "repeats",
+	"class_read": "needs", "update": "write", "latest": "fresh", "own_writes": "session",
+	"recent": "bounded", "loose": "any", "lag_allowed_us": "bounds", "behind": "checks",
+	"off": "none", "reject": "refuse", "hold": "wait", "write_marks": "token", "client": "carried",
+	"router": "remembered", "answers_stamped": "stamped", "role_listed": "role", "delayed": "late",
+	"automatic": "pushed", "subscribe": "asked", "registry_mode": "list", "balancers": "drivers",
+	"position": "driver", "locality": "zone", "areas": "zones", "tick_us": "tick",
+	"quota_rps": "quota", "over_share_worth": "over_share", "may_cancel": "cancel",
+	"may_probe": "probe", "peers": "tell", "second_copies": "overlap", "most_tries": "callouts",
+	"max_retry_after_us": "longest_wait", "drain_grace_us": "drain_grace", "cold_us": "cold_lasts",
+	"start_capacity": "cold_share", "fall_multiple": "cold_multiple", "tip_after_us": "cold_window",
+	"answer_slack_us": "answer_slack", "ask_within_us": "ask_within", "load_share": "util",
+	"concurrent": "inflight", "depth": "queue", "mean_ms": "latency", "tps": "rate",
+	"err_ps": "errors", "soft_removal": "only_draining_binds", "retry_after": "timed_pushback",
+}
+
+// rename leaves alone what it has no word for.
+func rename(text, separator string) string {
+	parts := strings.Split(text, separator)
+	for i, part := range parts {
+		if word, ok := words[part]; ok {
+			parts[i] = word
+		}
+	}
+	return strings.Join(parts, separator)
+}
+
+func readSettings(text string) map[string]string {
+	settings := make(map[string]string)
+	for line := range strings.Lines(text) {
+		name, value, found := strings.Cut(strings.TrimRight(line, "\r\n"), "=")
+		if found {
+			settings[rename(name, ".")] = rename(value, ",")
+		}
+	}
+	return settings
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,808 @@
+// Package rules is passtack's decision module: every decision of a driver is in this file.
+//
+// A host (cmd/simhost on the bench, the service later) makes one Router per driver with New and calls one
+// method for each thing that happens: ListBegins, Listed and ListEnds for the member list, Take for an
+// RPC, Ended for a call-out, Probed, Told, ClientLeft and Wake. The Router acts by calling the host, whose
+// interface is driver.Host in driver/driver.go. docs/design.md tells which decisions the design settles.
+package rules
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/due"
+	"passtack/internal/pcg"
+)
+
+// What follows is tuned. Each value says what it stands for; none belongs to one deployment.
+const (
+	pinLimit     = 10 * time.Second       // a session stays on the primary no longer after its last write
+	primaryShare = 0.1                    // of the reads that a replica could serve
+	holdPart     = 0.15                   // of a read's time that may pass before it is sent
+	writeHold    = 0.5                    // the same for what only the primary takes
+	silence      = 4                      // usual latencies without any answer make a busy member suspect
+	firstPause   = 200 * time.Millisecond // before the first trickle to a member set aside
+	lastPause    = 2 * time.Second
+	trusted      = 16                     // a trickle that has doubled past this is no longer held back
+	scoutEvery   = 250 * time.Millisecond // a member that said replica is asked again no sooner
+	coldPart     = 0.5                    // of the cold budget; the rest is for bursts and for what was not seen
+	farther      = 1.3                    // how much longer a member in another zone seems
+	comeBack     = 300 * time.Millisecond // while nothing better is known
+	tokenKept    = 5 * time.Minute        // the router's memory of a session's write
+	smoothing    = 0.1                    // weight of the newest latency
+	early        = 5 * time.Millisecond   // rounding of positions and late ticks
+)
+
+type need int
+
+const (
+	anyAge need = iota
+	bounded
+	session
+	fresh
+	write
+)
+
+var needs = map[string]need{"any": anyAge, "bounded": bounded, "session": session, "fresh": fresh, "write": write}
+
+type method struct {
+	need          need
+	idempotent    bool
+	tokened       bool
+	repeatsAnyway bool // every member drops its repeats
+	window        time.Duration
+	soft          time.Duration
+	bound         time.Duration
+	utility, late float64
+	usual         time.Duration // latency seen of late
+}
+
+type member struct {
+	id        driver.Member
+	zone      driver.Zone
+	group     *group
+	sendable  bool // listed and ready
+	listed    bool
+	started   time.Duration
+	pos       time.Duration // it has applied all commits up to here
+	posAt     time.Duration // when that was told
+	replicaAt time.Duration // latest proof that it is a replica
+	heard     time.Duration // latest answer, or start of being busy
+	ratio     float64       // its latencies against the usual
+	depth     float64       // call-outs out when those were sent
+	load      float64       // work sent of late, in seconds, decaying over the cold window
+	loadAt    time.Duration
+	out       []*rpc
+	fails     int
+	trickle   int // 0: trusted; else how many call-outs it may hold
+	good      int // answers since the trickle last doubled
+	pause     time.Duration
+	nextTry   time.Duration
+	probing   bool
+	probedAt  time.Duration
+}
+
+type group struct {
+	members   []*member // in the order in which they were first listed
+	primary   *member
+	primaryAt time.Duration // when the primary was proven so
+	held      []*rpc
+	scouts    int
+}
+
+type callOut struct {
+	to    *member
+	sent  time.Duration
+	depth int
+	open  bool
+	scout bool
+}
+
+type rpc struct {
+	id         driver.RPC
+	method     *method
+	group      *group
+	session    driver.Session
+	arrived    time.Duration
+	until      time.Duration
+	token      time.Duration
+	calls      []callOut
+	tried      []*member // turned it away, or never got it
+	mayHaveRun bool
+	ranAt      time.Duration // send of the first call-out that may have run
+	holdUntil  time.Duration
+	held       bool
+	recalled   bool // called off to be sent elsewhere
+	answered   bool
+}
+
+// Router is the decision module of one driver.
+type Router struct {
+	host     driver.Host
+	chance   *pcg.Source
+	settings map[string]string
+	methods  []*method
+	groups   map[driver.Group]*group
+	order    []*group
+	members  map[driver.Member]*member
+	all      []*member
+	rpcs     map[driver.RPC]*rpc
+	tokens   map[driver.Session]time.Duration
+	dues     due.Queue[func()]
+	seen     map[driver.Member]bool // while a whole list comes
+	column   map[string]int
+	zone     driver.Zone
+	checks   bool // members turn away reads that they are too far behind for
+	watching bool
+	tick     time.Duration
+}
+
+// never is a time before all others.
+const never = driver.LongAgo
+
+func New(host driver.Host, seed uint64, settings map[string]string) *Router {
+	r := &Router{
+		host: host, chance: pcg.New(seed), settings: settings,
+		groups:  make(map[driver.Group]*group),
+		members: make(map[driver.Member]*member),
+		rpcs:    make(map[driver.RPC]*rpc),
+		tokens:  make(map[driver.Session]time.Duration),
+		column:  make(map[string]int),
+	}
+	for i, name := range strings.Split(settings["report.columns"], ",") {
+		r.column[name] = i
+	}
+	r.zone = driver.Zone(r.number("zone", 0))
+	r.checks = settings["family_info.checks"] == "wait" || settings["family_info.checks"] == "refuse"
+	r.tick = max(r.span("tick", 5000), 5*time.Millisecond)
+	kinds := strings.Split(settings["family_info.needs"], ",")
+	bounds := strings.Split(settings["family_info.bounds"], ",")
+	for i := range int(r.must("methods.count")) {
+		at := "methods." + strconv.Itoa(i) + "."
+		m := &method{
+			utility: r.number(at+"utility", 1), late: r.number(at+"late_utility", 0),
+			idempotent: settings[at+"effect"] == "idempotent", tokened: settings[at+"effect"] == "tokened",
+			repeatsAnyway: settings[at+"repeats"] == "all", window: r.span(at+"window", 0),
+			soft: time.Duration(r.must(at+"soft_deadline")) * time.Microsecond,
+		}
+		m.usual = m.soft / 4
+		known := false
+		if i < len(kinds) {
+			m.need, known = needs[kinds[i]]
+		}
+		if !known {
+			host.Fault("setting family_info.needs does not say what method " + strconv.Itoa(i) + " needs")
+		}
+		if i < len(bounds) {
+			us, _ := strconv.ParseFloat(bounds[i], 64)
+			m.bound = time.Duration(us) * time.Microsecond
+		}
+		r.methods = append(r.methods, m)
+	}
+	host.WakeAfter(r.tick)
+	if settings["list"] == "asked" {
+		r.watch()
+	}
+	return r
+}
+
+func (r *Router) number(name string, otherwise float64) float64 {
+	if v, err := strconv.ParseFloat(r.settings[name], 64); err == nil {
+		return v
+	}
+	return otherwise
+}
+
+func (r *Router) must(name string) float64 {
+	v, err := strconv.ParseFloat(r.settings[name], 64)
+	if err != nil {
+		r.host.Fault("setting " + name + " is missing or no number")
+	}
+	return v
+}
+
+func (r *Router) span(name string, otherwise float64) time.Duration {
+	return time.Duration(r.number(name, otherwise)) * time.Microsecond
+}
+
+func (r *Router) may(what string) bool { return r.settings["caps."+what] == "true" }
+
+// Take is the ordinary path's start: a client's RPC is here and gets one final answer.
+func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, tenant driver.Tenant,
+	who driver.Session, until, wrote time.Duration, repeat bool) {
+	now := r.host.Now()
+	q := &rpc{id: id, group: r.groupOf(in), session: who, arrived: now, until: until, token: never}
+	r.rpcs[id] = q
+	if int(meth) >= len(r.methods) {
+		q.method = &method{}
+		r.giveUp(q, 0)
+		return
+	}
+	q.method = r.methods[meth]
+	if r.settings["family_info.token"] == "remembered" {
+		if token, ok := r.tokens[who]; ok {
+			q.token = token
+		}
+	} else if wrote > 0 {
+		q.token = now - wrote + time.Millisecond
+	}
+	r.dues.Push(until-r.tick, func() {
+		if len(q.calls) == 0 || !q.calls[len(q.calls)-1].open {
+			r.giveUp(q, 0)
+		}
+	})
+	r.route(q)
+}
+
+// route is the ordinary path: it sends the RPC where the design says, holds it briefly, or gives it up.
+func (r *Router) route(q *rpc) {
+	now, g, m := r.host.Now(), q.group, q.method
+	primary := g.primary
+	if primary != nil && !r.open(primary, q, now) {
+		primary = nil
+	}
+	var to *member
+	scout := false
+	switch m.need {
+	case write:
+		to = primary
+		if to == nil && g.scouts == 0 {
+			to = r.scout(q, now)
+			scout = to != nil
+		}
+	case fresh:
+		to = primary
+		if to == nil {
+			to = r.companion(q, q.arrived+early, now)
+		}
+	case session:
+		pinned := now-q.token < pinLimit && !g.allPast(q.token)
+		if pinned {
+			to = primary
+		}
+		if to == nil {
+			to = r.companion(q, q.token, now)
+		}
+		if to == nil {
+			to = primary
+		}
+	case bounded:
+		to = r.companion(q, now-m.bound+early, now)
+		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && r.usualAt(primary) {
+			to = primary
+		}
+		if to == nil && r.checks {
+			to = r.lookAgain(q, now)
+		}
+	case anyAge:
+		to = r.companion(q, never, now)
+		if to == nil {
+			to = primary
+		}
+	}
+	if to == nil {
+		r.hold(q)
+		return
+	}
+	left := q.arrived + m.soft - now
+	if left <= 0 && m.late > 0 {
+		left = q.until - now
+	}
+	if predicted := r.predict(to, m); !scout && predicted > left {
+		r.giveUp(q, predicted-left)
+		return
+	}
+	q.held = false
+	timeout := time.Duration(0)
+	if m.late == 0 && m.idempotent {
+		timeout = left
+	}
+	r.send(q, to, timeout, scout)
+}
+
+func (r *Router) send(q *rpc, to *member, timeout time.Duration, scout bool) {
+	now := r.host.Now()
+	if len(to.out) == 0 {
+		to.heard = max(to.heard, now)
+	}
+	q.calls = append(q.calls, callOut{to: to, sent: now, depth: len(to.out), open: true, scout: scout})
+	to.out = append(to.out, q)
+	to.load = r.loadOf(to, now) + q.method.usual.Seconds()
+	to.loadAt = now
+	if scout {
+		q.group.scouts++
+	}
+	r.host.CallOut(q.id, to.id, timeout)
+}
+
+// allPast tells whether every replica of the group is known to have applied past the token.
+func (g *group) allPast(token time.Duration) bool {
+	for _, m := range g.members {
+		if m.listed && m != g.primary && m.pos < token {
+			return false
+		}
+	}
+	return true
+}
+
+// open tells whether a member may get this RPC now: it is ready, its trickle and its cold budget have room.
+func (r *Router) open(m *member, q *rpc, now time.Duration) bool {
+	if !m.sendable || m.trickle > 0 && (len(m.out) >= m.trickle || now < m.nextTry) {
+		return false
+	}
+	for _, t := range q.tried {
+		if t == m {
+			return false
+		}
+	}
+	return r.coldRoom(m, q.method.usual.Seconds(), now)
+}
+
+func (r *Router) loadOf(m *member, now time.Duration) float64 {
+	window := r.span("rules.cold_window", 1e6)
+	return m.load * math.Exp(-float64(now-m.loadAt)/float64(window))
+}
+
+// coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
+// from what warm members get from it. It also spares members that come back after a lost zone or a deploy.
+func (r *Router) coldRoom(m *member, work float64, now time.Duration) bool {
+	lasts := r.span("rules.cold_lasts", 0)
+	age := now - m.started
+	if m.started == never || age >= lasts {
+		return true
+	}
+	share := r.number("rules.cold_share", 1)
+	share += (1 - share) * max(0, float64(age)/float64(lasts))
+	total, count := 0.0, 0.0
+	for _, other := range r.all {
+		if other.sendable && other.trickle == 0 && (other.started == never || now-other.started >= lasts) {
+			total += r.loadOf(other, now)
+			count++
+		}
+	}
+	room := 0.0
+	if count > 0 {
+		room = coldPart * share * r.number("rules.cold_multiple", 1) * total / count
+	}
+	load := r.loadOf(m, now)
+	return load+work <= room || load < work/4 && len(m.out) == 0
+}
+
+// companion picks the replica for a read: the better of two random ones known past the floor.
+func (r *Router) companion(q *rpc, floor, now time.Duration) *member {
+	var fit []*member
+	for _, m := range q.group.members {
+		if m != q.group.primary && m.pos >= floor && r.open(m, q, now) {
+			fit = append(fit, m)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	i, j := r.chance.Below(len(fit)), r.chance.Below(len(fit))
+	a, b := fit[i], fit[j]
+	if r.cost(b, q.method) < r.cost(a, q.method) {
+		return b
+	}
+	return a
+}
+
+func (r *Router) cost(m *member, meth *method) float64 {
+	c := float64(r.predict(m, meth))
+	if m.zone != r.zone {
+		c *= farther
+	}
+	return c
+}
+
+// predict tells how long the method would take at the member, from its latencies and from how many more
+// call-outs it holds now than it held then.
+func (r *Router) predict(m *member, meth *method) time.Duration {
+	crowd := (float64(len(m.out)) + 1) / (m.depth + 1)
+	return time.Duration(float64(meth.usual) * m.ratio * crowd)
+}
+
+func (r *Router) usualAt(m *member) bool {
+	return m.trickle == 0 && m.ratio*(float64(len(m.out))+1)/(m.depth+1) < 1.5
+}
+
+// lookAgain sends one read to a replica not heard of lately, where members themselves turn away what they are
+// too far behind for: a replica that once fell behind would else never be heard of again.
+func (r *Router) lookAgain(q *rpc, now time.Duration) *member {
+	for _, m := range q.group.members {
+		if m != q.group.primary && len(m.out) == 0 && now-m.posAt > scoutEvery && r.open(m, q, now) {
+			return m
+		}
+	}
+	return nil
+}
+
+// scout picks the member most likely to be the primary that nobody has told of yet.
+func (r *Router) scout(q *rpc, now time.Duration) *member {
+	var best *member
+	for _, m := range q.group.members {
+		if m == q.group.primary || now-m.replicaAt < scoutEvery || !r.open(m, q, now) {
+			continue
+		}
+		if best == nil || m.replicaAt < best.replicaAt {
+			best = m
+		}
+	}
+	return best
+}
+
+func (r *Router) hold(q *rpc) {
+	now := r.host.Now()
+	if q.holdUntil == 0 {
+		part := holdPart
+		if q.method.need == write || q.method.need == fresh {
+			part = writeHold
+		}
+		q.holdUntil = now + time.Duration(part*float64(q.until-now))
+		r.dues.Push(q.holdUntil, func() {
+			if q.held {
+				r.giveUp(q, comeBack)
+			}
+		})
+	}
+	if now >= q.holdUntil {
+		r.giveUp(q, comeBack)
+		return
+	}
+	if !q.held {
+		q.held = true
+		q.group.held = append(q.group.held, q)
+	}
+}
+
+// giveUp gives the final answer to an RPC that gets no more call-outs.
+func (r *Router) giveUp(q *rpc, wait time.Duration) {
+	if q.answered {
+		return
+	}
+	q.answered, q.held = true, false
+	running := false
+	for i, c := range q.calls {
+		if c.open {
+			running = true
+			if r.may("cancel") {
+				r.host.Cancel(q.id, i)
+			}
+		}
+	}
+	if q.method.idempotent || !q.mayHaveRun && !running || q.method.tokened && q.method.repeatsAnyway {
+		r.host.PushBack(q.id, min(max(wait, 0), r.span("caps.longest_wait", 1e6)))
+	} else {
+		r.host.Abort(q.id)
+	}
+	r.forget(q)
+}
+
+func (r *Router) forget(q *rpc) {
+	for _, c := range q.calls {
+		if c.open {
+			return
+		}
+	}
+	if q.answered {
+		delete(r.rpcs, q.id)
+	}
+}
+
+// neverRan tells which outcomes prove that the call-out did not run.
+func neverRan(o driver.Outcome) bool {
+	return o == driver.Full || o == driver.NoConnection || o == driver.Moot || o == driver.Miss
+}
+
+// Ended tells how a call-out ended, and what the member said of itself.
+func (r *Router) Ended(id driver.RPC, n int, from driver.Member, how driver.Outcome, took time.Duration,
+	complete bool, pos time.Duration, role driver.Role, report []float64) {
+	now := r.host.Now()
+	q := r.rpcs[id]
+	if q == nil || n >= len(q.calls) || !q.calls[n].open {
+		return
+	}
+	c := &q.calls[n]
+	c.open = false
+	m := c.to
+	for i, o := range m.out {
+		if o == q {
+			m.out = append(m.out[:i], m.out[i+1:]...)
+			break
+		}
+	}
+	if c.scout {
+		q.group.scouts--
+	}
+	r.learn(q, c, how, took, now)
+	if role != driver.Unknown {
+		r.toldPos(m, pos, now)
+		r.toldRole(m, role, now)
+	}
+	r.reported(m, report, now)
+	if how == driver.OK && q.method.need == write && q.session != 0 && r.settings["family_info.token"] == "remembered" {
+		r.remember(q.session, max(pos, c.sent))
+	}
+	q.answered = q.answered || complete
+	if !neverRan(how) && !q.mayHaveRun {
+		q.mayHaveRun, q.ranAt = true, c.sent
+	}
+	if q.answered {
+		r.forget(q)
+		return
+	}
+	if neverRan(how) {
+		q.tried = append(q.tried, m)
+	}
+	r.again(q, how, now)
+}
+
+// again decides on a further call-out once one has failed.
+func (r *Router) again(q *rpc, how driver.Outcome, now time.Duration) {
+	m := q.method
+	recalled := q.recalled
+	q.recalled = false
+	switch {
+	case now >= q.until-r.tick, how == driver.Moot, len(q.calls) >= int(r.number("caps.callouts", 1)):
+		r.giveUp(q, 0)
+	case how == driver.TimedOut, how == driver.Cancelled && !recalled:
+		r.giveUp(q, r.span("caps.longest_wait", 1e6))
+	case !q.mayHaveRun, m.idempotent, m.tokened && now < q.ranAt+m.window-r.tick:
+		if q.mayHaveRun && !m.idempotent {
+			q.until = min(q.until, q.ranAt+m.window-r.tick)
+		}
+		r.route(q)
+	default:
+		r.giveUp(q, 0)
+	}
+}
+
+func (r *Router) remember(who driver.Session, commit time.Duration) {
+	r.tokens[who] = max(commit, r.tokens[who])
+	r.dues.Push(r.host.Now()+tokenKept, func() {
+		if r.host.Now()-r.tokens[who] >= tokenKept {
+			delete(r.tokens, who)
+		}
+	})
+}
+
+// learn keeps the member's latencies and health.
+func (r *Router) learn(q *rpc, c *callOut, how driver.Outcome, took, now time.Duration) {
+	m := c.to
+	switch how {
+	case driver.OK:
+		part := float64(took) / float64(q.method.usual)
+		q.method.usual += time.Duration(smoothing / 2 * (float64(took)/m.ratio - float64(q.method.usual)))
+		q.method.usual = max(q.method.usual, time.Millisecond)
+		m.ratio = max(0.2, m.ratio+smoothing*(min(part, 10)-m.ratio))
+		m.depth += smoothing * (float64(c.depth) - m.depth)
+		m.heard, m.fails, m.pause = now, 0, firstPause
+		if m.trickle > 0 {
+			if m.good++; m.good >= m.trickle {
+				m.trickle, m.good = 2*m.trickle, 0
+			}
+			if m.trickle > trusted {
+				m.trickle = 0
+			}
+		}
+	case driver.Miss, driver.Full, driver.Failed:
+		m.heard = now
+	case driver.Broken:
+		r.setAside(m, now, "broke a connection")
+	case driver.NoConnection:
+		if m.fails++; m.fails > 1 || m.trickle > 0 {
+			r.setAside(m, now, "takes no connection")
+		}
+	case driver.TimedOut:
+		if m.trickle > 0 && m.heard <= c.sent {
+			r.setAside(m, now, "still silent")
+		}
+	}
+}
+
+// setAside leaves a member a trickle. It answers every symptom of a member that does not answer: crashed,
+// hung, cut off, or full of connections. Where the whole group is struck nothing is lost by it, as the trickle
+// finds the first that is back.
+func (r *Router) setAside(m *member, now time.Duration, why string) {
+	if m.trickle == 0 {
+		r.host.Log(fmt.Sprintf("member %012x set aside: it %s", uint64(m.id), why))
+	}
+	m.trickle, m.good = 1, 0
+	m.pause = min(max(2*m.pause, firstPause), lastPause)
+	m.nextTry = now + m.pause
+}
+
+func (r *Router) toldPos(m *member, pos, now time.Duration) {
+	m.pos, m.posAt = max(m.pos, pos), now
+}
+
+// toldRole keeps the newest proof of who is primary.
+func (r *Router) toldRole(m *member, role driver.Role, at time.Duration) {
+	g := m.group
+	if role == driver.Replica {
+		m.replicaAt = max(m.replicaAt, at)
+		if g.primary == m && at > g.primaryAt {
+			g.primary = nil
+		}
+	} else if at > g.primaryAt && at > m.replicaAt {
+		if g.primary != m {
+			r.host.Log(fmt.Sprintf("member %012x is primary of its group", uint64(m.id)))
+		}
+		g.primary, g.primaryAt = m, at
+	}
+}
+
+// reported reads a load report. Its position is also how old it is at most as a proof of the role.
+func (r *Router) reported(m *member, report []float64, now time.Duration) {
+	if x0, ok := r.column["x0"]; ok && x0 < len(report) && report[x0] > 0 {
+		pos := time.Duration(report[x0]*float64(time.Second)) - time.Millisecond
+		m.pos = max(m.pos, pos)
+		if x1, ok := r.column["x1"]; ok && x1 < len(report) {
+			if report[x1] == 1 {
+				r.toldRole(m, driver.Primary, pos)
+			} else {
+				r.toldRole(m, driver.Replica, pos)
+			}
+		}
+	}
+}
+
+// Probed brings the result of a probe.
+func (r *Router) Probed(id driver.Member, ok bool, took time.Duration, report []float64) {
+	m := r.members[id]
+	if m == nil {
+		return
+	}
+	m.probing = false
+	if !ok {
+		return
+	}
+	now := r.host.Now()
+	m.posAt = now
+	r.reported(m, report, now)
+}
+
+// Told brings another driver's words; this module listens to none yet.
+func (r *Router) Told(from driver.Peer, text []byte) {}
+
+// ClientLeft ends an RPC whose client is gone.
+func (r *Router) ClientLeft(id driver.RPC) {
+	if q := r.rpcs[id]; q != nil {
+		q.answered, q.held = true, false
+		for i, c := range q.calls {
+			if c.open && r.may("cancel") {
+				r.host.Cancel(id, i)
+			}
+		}
+		r.forget(q)
+	}
+}
+
+// Wake is the one periodic timer.
+func (r *Router) Wake() {
+	now := r.host.Now()
+	r.host.WakeAfter(r.tick)
+	for {
+		act, ok := r.dues.Pop(now)
+		if !ok {
+			break
+		}
+		act()
+	}
+	for _, m := range r.all {
+		r.watchOver(m, now)
+	}
+	for _, g := range r.order {
+		r.retry(g)
+	}
+}
+
+func (r *Router) retry(g *group) {
+	waiting := g.held
+	g.held = nil
+	for _, q := range waiting {
+		if q.held {
+			q.held = false
+			r.route(q)
+		}
+	}
+}
+
+// watchOver probes a member that has not been heard of, and sets aside one that has gone silent.
+func (r *Router) watchOver(m *member, now time.Duration) {
+	patience := time.Duration(0)
+	for _, q := range m.out {
+		patience = max(patience, silence*q.method.usual)
+	}
+	if len(m.out) > 0 && m.trickle == 0 && now-m.heard > patience {
+		r.setAside(m, now, "has gone silent")
+		for _, q := range append([]*rpc(nil), m.out...) {
+			if q.method.idempotent && !q.answered && r.may("cancel") && len(q.calls) == 1 {
+				q.recalled = true
+				r.host.Cancel(q.id, len(q.calls)-1)
+			}
+		}
+	}
+	every := 150 * time.Millisecond
+	if m.trickle > 0 {
+		every = 500 * time.Millisecond
+	}
+	if r.may("probe") && m.sendable && !m.probing && now-max(m.posAt, m.probedAt) > every {
+		m.probing, m.probedAt = true, now
+		r.host.Probe(m.id)
+	}
+}
+
+func (r *Router) groupOf(id driver.Group) *group {
+	g := r.groups[id]
+	if g == nil {
+		g = &group{primaryAt: never}
+		r.groups[id] = g
+		r.order = append(r.order, g)
+	}
+	return g
+}
+
+func (r *Router) watch() {
+	r.host.Watch(true)
+}
+
+// ListBegins, Listed and ListEnds bring the member list.
+func (r *Router) ListBegins(how driver.Listing) {
+	r.seen = nil
+	if how == driver.Whole || how == driver.Cached {
+		r.seen = make(map[driver.Member]bool)
+	}
+}
+
+func (r *Router) Listed(id driver.Member, zone driver.Zone, in driver.Group, state driver.Standing,
+	size float64, started time.Duration, primary bool) {
+	m := r.members[id]
+	g := r.groupOf(in)
+	if m == nil {
+		m = &member{
+			id: id, zone: zone, group: g, pos: never, posAt: never, replicaAt: never, heard: never,
+			ratio: 1, pause: firstPause, probedAt: never, started: started,
+		}
+		r.members[id] = m
+		r.all = append(r.all, m)
+		g.members = append(g.members, m)
+	}
+	if r.seen != nil {
+		r.seen[id] = true
+	}
+	if started > m.started {
+		m.ratio, m.depth, m.load = 1, 0, 0
+	}
+	m.started = max(m.started, started)
+	m.listed = state != driver.Gone
+	m.sendable = state == driver.Ready
+	if !m.sendable && g.primary == m {
+		g.primary = nil
+	}
+	if primary && m.sendable && g.primary == nil && m.replicaAt == never {
+		g.primary = m
+	}
+}
+
+func (r *Router) ListEnds(how driver.Listing) {
+	if r.seen != nil {
+		for _, m := range r.all {
+			if !r.seen[m.id] {
+				m.listed, m.sendable = false, false
+				if m.group.primary == m {
+					m.group.primary = nil
+				}
+			}
+		}
+		r.seen = nil
+	}
+	if how == driver.NoList {
+		wait := time.Duration((0.5 + r.chance.Float()) * float64(time.Second))
+		r.dues.Push(r.host.Now()+wait, r.watch)
+	}
+}
