Count call-outs that timed out as slow answers

Cause: only ok answers were learned from, so in a jam in which most call-outs timed out the module saw the few quick ones and went on taking RPCs. It covers any trouble that shows as silence rather than slow answers. It may hurt where a client gives up so early that its own limit looks like a slow member.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -50,40 +50,30 @@
 var needs = map[string]need{"any": anyAge, "bounded": bounded, "session": session, "fresh": fresh, "write": write}
 
 type method struct {
-	need          need
-	idempotent    bool
-	tokened       bool
-	repeatsAnyway bool // every member drops its repeats
-	window        time.Duration
-	soft          time.Duration
-	bound         time.Duration
-	utility, late float64
-	usual         time.Duration // latency seen of late
+	need                            need
+	idempotent, tokened, everywhere bool          // everywhere: every member drops its repeats
+	window, soft, bound, usual      time.Duration // usual: the latency seen of late
+	utility, late                   float64
 }
 
 type member struct {
-	id        driver.Member
-	zone      driver.Zone
-	group     *group
-	sendable  bool // listed and ready
-	listed    bool
-	started   time.Duration
-	pos       time.Duration // it has applied all commits up to here
-	posAt     time.Duration // when that was told
-	replicaAt time.Duration // latest proof that it is a replica
-	heard     time.Duration // latest answer, or start of being busy
-	ratio     float64       // its latencies against the usual
-	depth     float64       // call-outs out when those were sent
-	load      float64       // work sent of late, in seconds, decaying over the cold window
-	loadAt    time.Duration
-	out       []*rpc
-	fails     int
-	trickle   int // 0: trusted; else how many call-outs it may hold
-	good      int // answers since the trickle last doubled
-	pause     time.Duration
-	nextTry   time.Duration
-	probing   bool
-	probedAt  time.Duration
+	id               driver.Member
+	zone             driver.Zone
+	group            *group
+	listed, sendable bool          // sendable: listed as ready
+	started          time.Duration // the latest start that the list told
+	pos, posAt       time.Duration // it has applied all commits up to pos; when that was told
+	replicaAt        time.Duration // latest proof that it is a replica
+	heard            time.Duration // latest answer, or start of being busy
+	ratio, depth     float64       // its latencies against the usual; call-outs out when those were sent
+	load             float64       // work sent of late, in seconds, decaying over the cold window
+	loadAt           time.Duration
+	out              []*rpc
+	fails            int
+	trickle, good    int           // call-outs it may hold, 0 if trusted; answers since that last doubled
+	pause, nextTry   time.Duration // between trickles that fail
+	probing          bool
+	probedAt         time.Duration
 }
 
 type group struct {
@@ -95,29 +85,27 @@
 }
 
 type callOut struct {
-	to    *member
-	sent  time.Duration
-	depth int
-	open  bool
-	scout bool
+	to          *member
+	sent        time.Duration
+	depth       int
+	open, scout bool
 }
 
 type rpc struct {
-	id         driver.RPC
-	method     *method
-	group      *group
-	session    driver.Session
-	arrived    time.Duration
-	until      time.Duration
-	token      time.Duration
-	calls      []callOut
-	tried      []*member // turned it away, or never got it
-	mayHaveRun bool
-	ranAt      time.Duration // send of the first call-out that may have run
-	holdUntil  time.Duration
-	held       bool
-	recalled   bool // called off to be sent elsewhere
-	answered   bool
+	id             driver.RPC
+	method         *method
+	group          *group
+	session        driver.Session
+	arrived, until time.Duration
+	token          time.Duration
+	calls          []callOut
+	tried          []*member // turned it away, or never got it
+	mayHaveRun     bool
+	ranAt          time.Duration // send of the first call-out that may have run
+	holdUntil      time.Duration
+	held           bool
+	recalled       bool // called off to be sent elsewhere
+	answered       bool
 }
 
 // Router is the decision module of one driver.
@@ -127,8 +115,8 @@
 	settings map[string]string
 	methods  []*method
 	groups   map[driver.Group]*group
-	order    []*group
 	members  map[driver.Member]*member
+	order    []*group // of groups and of all members: as first heard of
 	all      []*member
 	rpcs     map[driver.RPC]*rpc
 	tokens   map[driver.Session]time.Duration
@@ -137,7 +125,6 @@
 	column   map[string]int
 	zone     driver.Zone
 	checks   bool // members turn away reads that they are too far behind for
-	watching bool
 	tick     time.Duration
 }
 
@@ -166,7 +153,7 @@
 		m := &method{
 			utility: r.number(at+"utility", 1), late: r.number(at+"late_utility", 0),
 			idempotent: settings[at+"effect"] == "idempotent", tokened: settings[at+"effect"] == "tokened",
-			repeatsAnyway: settings[at+"repeats"] == "all", window: r.span(at+"window", 0),
+			everywhere: settings[at+"repeats"] == "all", window: r.span(at+"window", 0),
 			soft: time.Duration(r.must(at+"soft_deadline")) * time.Microsecond,
 		}
 		m.usual = m.soft / 4
@@ -185,7 +172,7 @@
 	}
 	host.WakeAfter(r.tick)
 	if settings["list"] == "asked" {
-		r.watch()
+		host.Watch(true)
 	}
 	return r
 }
@@ -474,7 +461,7 @@
 			}
 		}
 	}
-	if q.method.idempotent || !q.mayHaveRun && !running || q.method.tokened && q.method.repeatsAnyway {
+	if q.method.idempotent || !q.mayHaveRun && !running || q.method.tokened && q.method.everywhere {
 		r.host.PushBack(q.id, min(max(wait, 0), r.span("caps.longest_wait", 1e6)))
 	} else {
 		r.host.Abort(q.id)
@@ -575,10 +562,7 @@
 	m := c.to
 	switch how {
 	case driver.OK:
-		part := float64(took) / float64(q.method.usual)
-		q.method.usual += time.Duration(smoothing / 2 * (float64(took)/m.ratio - float64(q.method.usual)))
-		q.method.usual = max(q.method.usual, time.Millisecond)
-		m.ratio = max(0.2, m.ratio+smoothing*(min(part, 10)-m.ratio))
+		r.latency(q.method, m, took)
 		m.depth += smoothing * (float64(c.depth) - m.depth)
 		m.heard, m.fails, m.pause = now, 0, firstPause
 		if m.trickle > 0 {
@@ -597,13 +581,29 @@
 		if m.fails++; m.fails > 1 || m.trickle > 0 {
 			r.setAside(m, now, "takes no connection")
 		}
-	case driver.TimedOut:
+	case driver.TimedOut, driver.Cancelled:
+		r.slower(q.method, m, took)
 		if m.trickle > 0 && m.heard <= c.sent {
 			r.setAside(m, now, "still silent")
 		}
 	}
 }
 
+func (r *Router) latency(meth *method, m *member, took time.Duration) {
+	part := float64(took) / float64(meth.usual)
+	meth.usual += time.Duration(smoothing / 2 * (float64(took)/m.ratio - float64(meth.usual)))
+	meth.usual = max(meth.usual, time.Millisecond)
+	m.ratio = max(0.2, m.ratio+smoothing*(min(part, 10)-m.ratio))
+}
+
+// slower learns from a call-out that brought no answer: it would have taken longer still. Without it only the
+// quick ones would be seen, and a jam in which most time out would look like a fair day.
+func (r *Router) slower(meth *method, m *member, took time.Duration) {
+	if float64(took) > float64(meth.usual)*m.ratio {
+		r.latency(meth, m, took)
+	}
+}
+
 // setAside leaves a member a trickle. It answers every symptom of a member that does not answer: crashed,
 // hung, cut off, or full of connections. Where the whole group is struck nothing is lost by it, as the trickle
 // finds the first that is back.
@@ -747,10 +747,6 @@
 	return g
 }
 
-func (r *Router) watch() {
-	r.host.Watch(true)
-}
-
 // ListBegins, Listed and ListEnds bring the member list.
 func (r *Router) ListBegins(how driver.Listing) {
 	r.seen = nil
@@ -803,6 +799,6 @@
 	}
 	if how == driver.NoList {
 		wait := time.Duration((0.5 + r.chance.Float()) * float64(time.Second))
-		r.dues.Push(r.host.Now()+wait, r.watch)
+		r.dues.Push(r.host.Now()+wait, func() { r.host.Watch(true) })
 	}
 }
