Take an RPC only with time to spare, ranked by utility for its work

Cause: an RPC was taken while its mean predicted latency just met its soft deadline, so in a jam about half of what was taken came late, and reads jammed the primary as readily as writes. It may hurt where a light method of little utility shares members with a heavy one of much.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -33,6 +33,8 @@
 	farther      = 1.3                    // how much longer a member in another zone seems
 	comeBack     = 300 * time.Millisecond // while nothing better is known
 	tokenKept    = 5 * time.Minute        // the router's memory of a session's write
+	scatter      = 1.4                    // latencies up to this much over the predicted one are reckoned with
+	ranking      = 0.25                   // how strongly utility for work ranks RPCs; 0: not at all
 	smoothing    = 0.1                    // weight of the newest latency
 	early        = 5 * time.Millisecond   // rounding of positions and late ticks
 )
@@ -103,9 +105,8 @@
 	mayHaveRun     bool
 	ranAt          time.Duration // send of the first call-out that may have run
 	holdUntil      time.Duration
-	held           bool
+	held, answered bool
 	recalled       bool // called off to be sent elsewhere
-	answered       bool
 }
 
 // Router is the decision module of one driver.
@@ -202,14 +203,12 @@
 func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, tenant driver.Tenant,
 	who driver.Session, until, wrote time.Duration, repeat bool) {
 	now := r.host.Now()
-	q := &rpc{id: id, group: r.groupOf(in), session: who, arrived: now, until: until, token: never}
-	r.rpcs[id] = q
 	if int(meth) >= len(r.methods) {
-		q.method = &method{}
-		r.giveUp(q, 0)
+		r.host.PushBack(id, 0)
 		return
 	}
-	q.method = r.methods[meth]
+	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until}
+	r.rpcs[id], q.token = q, never
 	if r.settings["family_info.token"] == "remembered" {
 		if token, ok := r.tokens[who]; ok {
 			q.token = token
@@ -279,7 +278,8 @@
 	if left <= 0 && m.late > 0 {
 		left = q.until - now
 	}
-	if predicted := r.predict(to, m); !scout && predicted > left {
+	predicted := time.Duration(float64(r.predict(to, m)) * r.caution(m, to == g.primary))
+	if !scout && predicted > left {
 		r.giveUp(q, predicted-left)
 		return
 	}
@@ -393,6 +393,18 @@
 	return time.Duration(float64(meth.usual) * m.ratio * crowd)
 }
 
+// caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not all
+// can be in time, what brings less utility for its work makes room first.
+func (r *Router) caution(meth *method, primary bool) float64 {
+	most := 0.0
+	for _, m := range r.methods {
+		if primary || m.need != write && m.need != fresh {
+			most = max(most, m.utility/m.usual.Seconds())
+		}
+	}
+	return scatter * math.Pow(most/(meth.utility/meth.usual.Seconds()), ranking)
+}
+
 func (r *Router) usualAt(m *member) bool {
 	return m.trickle == 0 && m.ratio*(float64(len(m.out))+1)/(m.depth+1) < 1.5
 }
@@ -451,16 +463,7 @@
 	if q.answered {
 		return
 	}
-	q.answered, q.held = true, false
-	running := false
-	for i, c := range q.calls {
-		if c.open {
-			running = true
-			if r.may("cancel") {
-				r.host.Cancel(q.id, i)
-			}
-		}
-	}
+	running := r.callOff(q)
 	if q.method.idempotent || !q.mayHaveRun && !running || q.method.tokened && q.method.everywhere {
 		r.host.PushBack(q.id, min(max(wait, 0), r.span("caps.longest_wait", 1e6)))
 	} else {
@@ -480,6 +483,20 @@
 	}
 }
 
+// callOff ends the module's interest in an RPC and tells whether a call-out was still out.
+func (r *Router) callOff(q *rpc) (running bool) {
+	q.answered, q.held = true, false
+	for i, c := range q.calls {
+		if c.open {
+			running = true
+			if r.may("cancel") {
+				r.host.Cancel(q.id, i)
+			}
+		}
+	}
+	return running
+}
+
 // neverRan tells which outcomes prove that the call-out did not run.
 func neverRan(o driver.Outcome) bool {
 	return o == driver.Full || o == driver.NoConnection || o == driver.Moot || o == driver.Miss
@@ -642,11 +659,11 @@
 		pos := time.Duration(report[x0]*float64(time.Second)) - time.Millisecond
 		m.pos = max(m.pos, pos)
 		if x1, ok := r.column["x1"]; ok && x1 < len(report) {
+			role := driver.Replica
 			if report[x1] == 1 {
-				r.toldRole(m, driver.Primary, pos)
-			} else {
-				r.toldRole(m, driver.Replica, pos)
+				role = driver.Primary
 			}
+			r.toldRole(m, role, pos)
 		}
 	}
 }
@@ -672,12 +689,7 @@
 // ClientLeft ends an RPC whose client is gone.
 func (r *Router) ClientLeft(id driver.RPC) {
 	if q := r.rpcs[id]; q != nil {
-		q.answered, q.held = true, false
-		for i, c := range q.calls {
-			if c.open && r.may("cancel") {
-				r.host.Cancel(id, i)
-			}
-		}
+		r.callOff(q)
 		r.forget(q)
 	}
 }
