--- /dev/null
+++ b/rules/host_test.go
@@ -0,0 +1,295 @@
+package rules
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/pcg"
+)
+
+const ms = time.Millisecond
+
+// node is a member as it is, told to nobody.
+type node struct {
+	pos                 time.Duration
+	lag                 time.Duration
+	told                time.Duration // the position that the driver was last told
+	wasPrimary, toldNot bool          // it has been primary; an answer has said that it is none
+	standing            driver.Standing
+	leftAt              time.Duration // when the driver was told that it drains or is gone
+	started             time.Duration
+	sent                []time.Duration
+}
+
+type ask struct {
+	method, group    int
+	arrived, until   time.Duration
+	token            time.Duration
+	open, last       int // call-outs still out: at most one here; number of the last
+	to               driver.Member
+	sentAt           time.Duration
+	ran              bool
+	ranAt            time.Duration
+	ended, cancelled bool
+}
+
+// world is a host that knows all members as they are and checks the five rules at every act.
+type world struct {
+	t       testing.TB
+	now     time.Duration
+	chance  *pcg.Source
+	r       *Router
+	nodes   map[driver.Member]*node
+	order   []driver.Member
+	primary [2]driver.Member
+	rpcs    map[driver.RPC]*ask
+	open    []driver.RPC
+	next    driver.RPC
+	wake    time.Duration
+	probes  []driver.Member
+	lines   []string
+	checks  bool
+	watches int
+	pushed  map[driver.RPC]time.Duration
+	aborted map[driver.RPC]bool
+	calls   int
+}
+
+const grace, window, coldFor = 250 * ms, time.Second, 10 * time.Second
+
+var testMethods = []struct{ need, effect, repeats string }{
+	{"bounded", "idempotent", "all"}, {"session", "idempotent", "all"}, {"any", "idempotent", "all"},
+	{"fresh", "idempotent", "all"}, {"write", "tokened", "group"}, {"write", "non-idempotent", "all"},
+	{"write", "tokened", "all"},
+}
+
+func newWorld(t testing.TB, seed uint64, checks string, more ...string) *world {
+	w := &world{t: t, now: time.Second, chance: pcg.New(seed ^ 0x9e3779b97f4a7c15), checks: checks != "none",
+		nodes: map[driver.Member]*node{}, rpcs: map[driver.RPC]*ask{},
+		pushed: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}}
+	settings := map[string]string{
+		"family_info.checks": checks, "family_info.token": "carried", "caps.cancel": "true", "caps.probe": "true",
+		"caps.callouts": "8", "caps.longest_wait": "1000000", "rules.cold_window": "1000000", "drivers": "1",
+		"rules.cold_lasts": "10000000", "rules.cold_share": "0.25", "rules.cold_multiple": "3", "tick": "5000",
+		"report.columns": "x0,x1", "rules.drain_grace": "250000", "list": "pushed",
+	}
+	var needs, bounds []string
+	for i, m := range testMethods {
+		at := fmt.Sprintf("methods.%d.", i)
+		needs, bounds = append(needs, m.need), append(bounds, "500000")
+		settings[at+"effect"], settings[at+"repeats"], settings[at+"utility"] = m.effect, m.repeats, "2"
+		settings[at+"soft_deadline"], settings[at+"window"] = "600000", "1200000"
+		settings[at+"late_utility"] = fmt.Sprint(0.3 * float64(i%2))
+	}
+	settings["methods.count"] = fmt.Sprint(len(testMethods))
+	settings["family_info.needs"], settings["family_info.bounds"] = strings.Join(needs, ","), strings.Join(bounds, ",")
+	for _, line := range more {
+		name, value, _ := strings.Cut(line, "=")
+		settings[name] = value
+	}
+	w.r = New(w, seed, settings)
+	for i := range 8 {
+		w.add(driver.Member(100+i), driver.LongAgo)
+	}
+	w.primary = [2]driver.Member{100, 101}
+	w.nodes[100].wasPrimary, w.nodes[101].wasPrimary = true, true
+	w.list(driver.Cached)
+	return w
+}
+
+func (w *world) add(m driver.Member, started time.Duration) {
+	w.nodes[m] = &node{standing: driver.Ready, started: started, lag: 10 * ms, leftAt: -1}
+	w.order = append(w.order, m)
+}
+
+func (w *world) list(how driver.Listing, only ...driver.Member) {
+	if how != driver.Changes {
+		only = w.order
+	}
+	w.r.ListBegins(how)
+	for _, m := range only {
+		n := w.nodes[m]
+		if n.standing != driver.Ready && n.leftAt < 0 {
+			n.leftAt = w.now
+		} else if n.standing == driver.Ready {
+			n.leftAt = -1
+		}
+		w.r.Listed(m, driver.Zone(m%2), driver.Group(m%2), n.standing, 1, n.started, false)
+	}
+	w.r.ListEnds(how)
+}
+
+func (w *world) Now() time.Duration                      { return w.now }
+func (w *world) CloseIdle(driver.Member)                 {}
+func (w *world) Watch(bool)                              { w.watches++ }
+func (w *world) FetchList()                              {}
+func (w *world) Tell(driver.Peer, []byte)                {}
+func (w *world) WakeAfter(d time.Duration)               { w.wake = w.now + d }
+func (w *world) Log(line string)                         { w.lines = append(w.lines, line) }
+func (w *world) Fault(why string)                        { w.t.Fatal("fault: ", why) }
+func (w *world) Probe(m driver.Member)                   { w.probes = append(w.probes, m) }
+func (w *world) PushBack(id driver.RPC, d time.Duration) { w.pushed[id] = d; w.final(id, true) }
+func (w *world) Abort(id driver.RPC)                     { w.aborted[id] = true; w.final(id, false) }
+
+func (w *world) final(id driver.RPC, harmless bool) {
+	q := w.rpcs[id]
+	if q == nil || q.ended {
+		w.t.Fatalf("rule 1: second answer to %d", id)
+	}
+	q.ended = true
+	m := testMethods[q.method]
+	if harmless && (q.ran || q.open > 0) && (m.effect == "non-idempotent" || m.effect == "tokened" && m.repeats == "group") {
+		w.t.Fatalf("rule 2: %d pushed back after it may have run", id)
+	}
+}
+
+func (w *world) Cancel(id driver.RPC, n int) {
+	q := w.rpcs[id]
+	if n > q.last {
+		w.t.Fatalf("cancel of a call-out never sent")
+	}
+	q.cancelled = true
+}
+
+func (w *world) CallOut(id driver.RPC, to driver.Member, timeout time.Duration) {
+	w.calls++
+	q, n := w.rpcs[id], w.nodes[to]
+	if q == nil || n == nil || int(to%2) != q.group {
+		w.t.Fatalf("call-out of %d to %d of another group", id, to)
+	}
+	if q.ended || w.now > q.until {
+		w.t.Fatalf("rule 1: call-out of %d after its end", id)
+	}
+	m := testMethods[q.method]
+	if q.open > 0 {
+		w.t.Fatalf("two call-outs of %d at once", id)
+	}
+	if q.ran && (m.effect == "non-idempotent" || m.effect == "tokened" && w.now >= q.ranAt+1200*ms) {
+		w.t.Fatalf("rule 2: %d sent again after it may have run", id)
+	}
+	if n.leftAt >= 0 && w.now > n.leftAt+grace {
+		w.t.Fatalf("rule 3: call-out to %d, told to be leaving %v ago", to, w.now-n.leftAt)
+	}
+	if !w.checks && (!n.wasPrimary || n.toldNot) {
+		floor := map[string]time.Duration{"bounded": w.now - 500*ms, "session": q.token, "fresh": q.arrived}[m.need]
+		if n.told < floor {
+			w.t.Fatalf("rule 5: %s read sent to data told to stand at %v, wanted %v", m.need, n.told, floor)
+		}
+	}
+	n.sent = append(n.sent, w.now)
+	w.cold(to)
+	q.open, q.last, q.to, q.sentAt = 1, q.last+1, to, w.now
+	w.open = append(w.open, id)
+}
+
+// cold checks rule 4 by what warm members bear: the true capacity is at least that.
+func (w *world) cold(to driver.Member) {
+	n := w.nodes[to]
+	age := w.now - n.started
+	if n.started == driver.LongAgo || age >= coldFor {
+		return
+	}
+	count := func(n *node, since time.Duration) (c float64) {
+		for _, at := range n.sent {
+			if at > since {
+				c++
+			}
+		}
+		return c
+	}
+	most := 0.0
+	for _, m := range w.order {
+		if o := w.nodes[m]; o.started == driver.LongAgo || w.now-o.started > coldFor {
+			most = max(most, count(o, w.now-3*window))
+		}
+	}
+	share := 0.25 + 0.75*float64(max(0, age-window))/float64(coldFor)
+	if got := count(n, w.now-window); got > 3*share*most+4 {
+		w.t.Fatalf("rule 4: %v call-outs in a window to a member %v old, warm ones had %v in three", got, age, most)
+	}
+}
+
+func (w *world) take(method int, token time.Duration) driver.RPC {
+	w.next++
+	q := &ask{method: method, group: w.chance.Below(2), arrived: w.now, last: -1, token: driver.LongAgo}
+	q.until = w.now + time.Duration(300+w.chance.Below(1700))*ms
+	w.rpcs[w.next] = q
+	wrote := time.Duration(0)
+	if token > 0 {
+		q.token, wrote = token, w.now-token
+	}
+	w.r.Take(w.next, driver.Method(method), driver.Group(q.group), 0, 7, q.until, wrote, false)
+	return w.next
+}
+
+// end lets the call-out of an RPC end; what the member says goes with it.
+func (w *world) end(id driver.RPC, how driver.Outcome) {
+	q := w.rpcs[id]
+	n := w.nodes[q.to]
+	role, pos := driver.Unknown, time.Duration(0)
+	isPrimary := w.primary[q.group] == q.to
+	if m := testMethods[q.method]; how == driver.OK && m.need == "write" && !isPrimary {
+		how = driver.Miss
+	}
+	if how == driver.OK || how == driver.Miss || how == driver.Full || how == driver.Failed {
+		role, pos = driver.Replica, n.pos
+		n.toldNot = !isPrimary
+		if isPrimary {
+			role, pos = driver.Primary, w.now
+		}
+		n.told = max(n.told, pos.Truncate(ms))
+	}
+	for i, o := range w.open {
+		if o == id {
+			w.open = append(w.open[:i], w.open[i+1:]...)
+			break
+		}
+	}
+	q.open = 0
+	if !neverRan(how) && !q.ran {
+		q.ran, q.ranAt = true, q.sentAt
+	}
+	complete := q.ended || how == driver.OK
+	q.ended = complete
+	w.r.Ended(id, q.last, q.to, how, w.now-q.sentAt, complete, pos.Truncate(ms), role, nil)
+}
+
+// step lets time pass: members apply the log, time-outs and probes end, the timer fires.
+func (w *world) step(by time.Duration) {
+	for target := w.now + by; w.now < target; {
+		w.now += 5 * ms
+		for _, m := range w.order {
+			if n := w.nodes[m]; w.primary[m%2] == m {
+				n.pos = w.now
+			} else {
+				n.pos = max(n.pos, w.now-n.lag)
+			}
+		}
+		for _, id := range append([]driver.RPC(nil), w.open...) {
+			if q := w.rpcs[id]; q.cancelled {
+				q.cancelled = false
+				w.end(id, driver.Cancelled)
+			} else if w.now >= q.until {
+				w.end(id, driver.TimedOut)
+			}
+		}
+		if w.now >= w.wake {
+			w.r.Wake()
+		}
+		for id, q := range w.rpcs {
+			if !q.ended && w.now > q.until+20*ms {
+				w.t.Fatalf("rule 1: %d (method %d) never answered", id, q.method)
+			}
+		}
+	}
+}
+
+// answerAll lets every call-out that is out end well.
+func (w *world) answerAll() {
+	for _, id := range append([]driver.RPC(nil), w.open...) {
+		w.end(id, driver.OK)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,7 +49,8 @@
 	write
 )
 
-var needs = map[string]need{"any": anyAge, "bounded": bounded, "session": session, "fresh": fresh, "write": write}
+var needs = map[string]need{
+	"any": anyAge, "bounded": bounded, "session": session, "fresh": fresh, "write": write}
 
 type method struct {
 	need                            need
@@ -216,11 +217,6 @@
 	} else if wrote > 0 {
 		q.token = now - wrote + time.Millisecond
 	}
-	r.dues.Push(until-r.tick, func() {
-		if len(q.calls) == 0 || !q.calls[len(q.calls)-1].open {
-			r.giveUp(q, 0)
-		}
-	})
 	r.route(q)
 }
 
@@ -355,8 +351,7 @@
 	if count > 0 {
 		room = coldPart * share * r.number("rules.cold_multiple", 1) * total / count
 	}
-	load := r.loadOf(m, now)
-	return load+work <= room || load < work/4 && len(m.out) == 0
+	return r.loadOf(m, now)+work <= room || now-m.loadAt > r.span("rules.cold_window", 1e6)
 }
 
 // companion picks the replica for a read: the better of two random ones known past the floor.
@@ -393,8 +388,8 @@
 	return time.Duration(float64(meth.usual) * m.ratio * crowd)
 }
 
-// caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not all
-// can be in time, what brings less utility for its work makes room first.
+// caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not
+// all can be in time, what brings less utility for its work makes room first.
 func (r *Router) caution(meth *method, primary bool) float64 {
 	most := 0.0
 	for _, m := range r.methods {
@@ -442,11 +437,6 @@
 			part = writeHold
 		}
 		q.holdUntil = now + time.Duration(part*float64(q.until-now))
-		r.dues.Push(q.holdUntil, func() {
-			if q.held {
-				r.giveUp(q, comeBack)
-			}
-		})
 	}
 	if now >= q.holdUntil {
 		r.giveUp(q, comeBack)
@@ -528,7 +518,7 @@
 		r.toldRole(m, role, now)
 	}
 	r.reported(m, report, now)
-	if how == driver.OK && q.method.need == write && q.session != 0 && r.settings["family_info.token"] == "remembered" {
+	if how == driver.OK && q.method.need == write && r.settings["family_info.token"] == "remembered" {
 		r.remember(q.session, max(pos, c.sent))
 	}
 	q.answered = q.answered || complete
@@ -622,8 +612,7 @@
 }
 
 // setAside leaves a member a trickle. It answers every symptom of a member that does not answer: crashed,
-// hung, cut off, or full of connections. Where the whole group is struck nothing is lost by it, as the trickle
-// finds the first that is back.
+// hung, cut off, full of connections. Where the whole group is struck, the trickle finds the first one back.
 func (r *Router) setAside(m *member, now time.Duration, why string) {
 	if m.trickle == 0 {
 		r.host.Log(fmt.Sprintf("member %012x set aside: it %s", uint64(m.id), why))
@@ -642,10 +631,10 @@
 	g := m.group
 	if role == driver.Replica {
 		m.replicaAt = max(m.replicaAt, at)
-		if g.primary == m && at > g.primaryAt {
+		if g.primary == m && at >= g.primaryAt {
 			g.primary = nil
 		}
-	} else if at > g.primaryAt && at > m.replicaAt {
+	} else if at >= g.primaryAt && at >= m.replicaAt {
 		if g.primary != m {
 			r.host.Log(fmt.Sprintf("member %012x is primary of its group", uint64(m.id)))
 		}
@@ -774,7 +763,7 @@
 	if m == nil {
 		m = &member{
 			id: id, zone: zone, group: g, pos: never, posAt: never, replicaAt: never, heard: never,
-			ratio: 1, pause: firstPause, probedAt: never, started: started,
+			ratio: 1, pause: firstPause, probedAt: never, loadAt: never / 2, started: started,
 		}
 		r.members[id] = m
 		r.all = append(r.all, m)
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,233 @@
+package rules
+
+import (
+	"testing"
+	"time"
+
+	"passtack/driver"
+)
+
+// FuzzRules plays a random day, breaking whatever may break, and lets the host check the rules at each step.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(40) {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		w := newWorld(t, seed, []string{"none", "wait", "refuse"}[seed%3])
+		bad := []driver.Outcome{driver.Miss, driver.Full, driver.Failed, driver.NoConnection, driver.Broken, driver.TimedOut}
+		for range 4000 {
+			switch dice := w.chance.Below(100); {
+			case dice < 40:
+				token := time.Duration(0)
+				if w.chance.Below(3) > 0 {
+					token = w.now - time.Duration(w.chance.Below(12000))*ms
+				}
+				w.take(w.chance.Below(len(testMethods)), max(0, token))
+			case dice < 75 && len(w.open) > 0:
+				w.end(w.open[w.chance.Below(len(w.open))], driver.OK)
+			case dice < 80 && len(w.open) > 0:
+				w.end(w.open[w.chance.Below(len(w.open))], bad[w.chance.Below(len(bad))])
+			case dice < 81:
+				m := w.order[w.chance.Below(len(w.order))]
+				w.nodes[m].standing = driver.Standing(w.chance.Below(3))
+				w.list(driver.Changes, m)
+			case dice < 82:
+				m := w.order[w.chance.Below(len(w.order))]
+				w.nodes[m].started, w.nodes[m].standing, w.nodes[m].sent = w.now, driver.Ready, nil
+				w.list(driver.Changes, m)
+			case dice < 83:
+				group := w.chance.Below(2)
+				if m := w.order[w.chance.Below(len(w.order))]; int(m%2) == group {
+					w.primary[group], w.nodes[m].wasPrimary = m, true
+				}
+			case dice < 84:
+				w.nodes[w.order[w.chance.Below(len(w.order))]].lag = time.Duration(w.chance.Below(3000)) * ms
+			case dice < 86 && len(w.probes) > 0:
+				m := w.probes[0]
+				w.probes = w.probes[1:]
+				n := w.nodes[m]
+				if w.chance.Below(4) > 0 && w.primary[m%2] != m {
+					n.told = max(n.told, n.pos)
+					w.r.Probed(m, true, ms, []float64{n.pos.Seconds(), 0})
+				} else {
+					w.r.Probed(m, false, ms, nil)
+				}
+			case dice < 87 && len(w.open) > 0:
+				id := w.open[w.chance.Below(len(w.open))]
+				w.rpcs[id].ended = true
+				w.r.ClientLeft(id)
+			default:
+				w.step(time.Duration(5+w.chance.Below(40)) * ms)
+			}
+		}
+		w.step(3 * time.Second)
+		if len(w.r.rpcs) > 0 {
+			t.Fatalf("%d RPCs are still kept after all were answered", len(w.r.rpcs))
+		}
+	})
+}
+
+// settled is a world whose driver has heard every member.
+func settled(t *testing.T, checks string, more ...string) *world {
+	w := newWorld(t, 1, checks, more...)
+	for range 60 {
+		w.take(2, 0)
+		w.take(4, 0)
+		w.step(5 * ms)
+		w.answerAll()
+	}
+	if w.r.groups[0].primary == nil || w.r.groups[1].primary == nil {
+		t.Fatal("no primary found without a hint")
+	}
+	return w
+}
+
+func (w *world) sentTo(t *testing.T, method int, token time.Duration) driver.Member {
+	t.Helper()
+	id := w.take(method, token)
+	if w.rpcs[id].last < 0 {
+		t.Fatalf("RPC of method %d was not sent at once", method)
+	}
+	return w.rpcs[id].to
+}
+
+func TestSessionStaysOnPrimaryUntilAllReplicasPass(t *testing.T) {
+	w := settled(t, "none")
+	token := w.now - 20*ms
+	for _, m := range w.order[2:] {
+		w.nodes[m].lag = 300 * ms
+	}
+	for range 20 {
+		if to := w.sentTo(t, 1, token); to != w.primary[to%2] {
+			t.Fatalf("pinned read went to replica %d", to)
+		}
+		w.answerAll()
+	}
+	for range 80 {
+		w.take(2, 0)
+		w.step(10 * ms)
+		w.answerAll()
+	}
+	off := 0
+	for range 20 {
+		if to := w.sentTo(t, 1, token); to != w.primary[to%2] {
+			off++
+		}
+		w.answerAll()
+	}
+	if off < 15 {
+		t.Fatalf("%d of 20 reads left the primary once all replicas had passed the token", off)
+	}
+}
+
+func TestTimeOutsCountAsSlow(t *testing.T) {
+	w := settled(t, "wait")
+	m := w.r.members[w.order[4]]
+	before := w.r.predict(m, w.r.methods[0])
+	for range 5 {
+		w.r.slower(w.r.methods[0], m, 2*time.Second)
+	}
+	if after := w.r.predict(m, w.r.methods[0]); after <= before {
+		t.Fatalf("predicted %v after call-outs that never came back, %v before", after, before)
+	}
+}
+
+func TestSilentMemberIsSetAsideAndBroughtBack(t *testing.T) {
+	w := settled(t, "wait")
+	dead := w.order[4]
+	for range 400 {
+		w.take(2, 0)
+		w.step(5 * ms)
+		for _, id := range append([]driver.RPC(nil), w.open...) {
+			if w.rpcs[id].to != dead {
+				w.end(id, driver.OK)
+			}
+		}
+	}
+	if w.r.members[dead].trickle == 0 {
+		t.Fatal("a silent member is still trusted")
+	}
+	for range 2000 {
+		w.take(2, 0)
+		w.step(5 * ms)
+		w.answerAll()
+	}
+	if w.r.members[dead].trickle != 0 {
+		t.Fatal("a member that answers again is still set aside")
+	}
+}
+
+func TestWritesWaitForANewPrimary(t *testing.T) {
+	w := settled(t, "none")
+	old := w.primary[0]
+	w.primary[0] = w.order[4]
+	w.nodes[old].standing = driver.Gone
+	w.list(driver.Changes, old)
+	var ids []driver.RPC
+	for range 10 {
+		if id := w.take(4, 0); w.rpcs[id].group == 0 && w.rpcs[id].until > w.now+800*ms {
+			ids = append(ids, id)
+		}
+	}
+	calls := w.calls
+	for range 100 {
+		w.step(5 * ms)
+		w.answerAll()
+	}
+	for _, id := range ids {
+		if w.pushed[id] != 0 || w.aborted[id] {
+			t.Fatalf("write %d was given up though a primary took over", id)
+		}
+	}
+	if extra := w.calls - calls; extra > 4*len(ids) {
+		t.Fatalf("%d call-outs to find the primary for %d writes", extra, len(ids))
+	}
+}
+
+func TestFailedWatchIsAskedForAgainWithoutFlooding(t *testing.T) {
+	w := newWorld(t, 1, "wait", "list=asked")
+	for range 10 {
+		before := w.watches
+		w.r.ListBegins(driver.NoList)
+		w.r.ListEnds(driver.NoList)
+		w.step(2 * time.Second)
+		if w.watches != before+1 {
+			t.Fatalf("%d watches asked for after one failure", w.watches-before)
+		}
+	}
+}
+
+func TestRememberedTokenPins(t *testing.T) {
+	w := settled(t, "none", "family_info.token=remembered")
+	for _, m := range w.order[2:] {
+		w.nodes[m].lag = time.Second
+	}
+	id := w.take(4, 0)
+	w.end(id, driver.OK)
+	w.step(5 * ms)
+	for range 10 {
+		if to := w.sentTo(t, 1, 0); int(to%2) == w.rpcs[id].group && to != w.primary[to%2] {
+			t.Fatalf("session read went to replica %d after its write", to)
+		}
+	}
+}
+
+// A tokened write that broke late in its window waits for a primary no longer than the window lasts.
+func TestResendStopsWithTheWindow(t *testing.T) {
+	w := settled(t, "none")
+	id := w.take(4, 0)
+	q := w.rpcs[id]
+	w.r.rpcs[id].until, q.until = w.now+3*time.Second, w.now+3*time.Second
+	w.step(1100 * ms)
+	w.end(id, driver.Broken)
+	w.primary[q.group] = 0 // nobody takes over before the window ends
+	for range 100 {
+		w.step(5 * ms)
+		w.answerAll()
+	}
+	w.primary[q.group] = w.order[q.group]
+	w.step(500 * ms)
+	if !w.aborted[id] {
+		t.Fatal("a write past its window was not aborted")
+	}
+}
