A member that turned an RPC away may get it again after a while

Cause: such a member was shut out for the RPC's whole life, so a held write could not reach the replica that took over after it had turned the write away. Covers any member that recovers within an RPC's time.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -91,6 +91,7 @@
 	to          *member
 	sent        time.Duration
 	depth       int
+	turned      time.Duration // when it was turned away or found nobody
 	open, scout bool
 }
 
@@ -102,7 +103,6 @@
 	arrived, until time.Duration
 	token          time.Duration
 	calls          []callOut
-	tried          []*member // turned it away, or never got it
 	mayHaveRun     bool
 	ranAt          time.Duration // send of the first call-out that may have run
 	holdUntil      time.Duration
@@ -292,7 +292,7 @@
 	if len(to.out) == 0 {
 		to.heard = max(to.heard, now)
 	}
-	q.calls = append(q.calls, callOut{to: to, sent: now, depth: len(to.out), open: true, scout: scout})
+	q.calls = append(q.calls, callOut{to: to, sent: now, depth: len(to.out), turned: never, open: true, scout: scout})
 	to.out = append(to.out, q)
 	to.load = r.loadOf(to, now) + q.method.usual.Seconds()
 	to.loadAt = now
@@ -317,8 +317,8 @@
 	if !m.sendable || m.trickle > 0 && (len(m.out) >= m.trickle || now < m.nextTry) {
 		return false
 	}
-	for _, t := range q.tried {
-		if t == m {
+	for _, c := range q.calls {
+		if c.to == m && c.turned > now-scoutEvery {
 			return false
 		}
 	}
@@ -522,16 +522,15 @@
 		r.remember(q.session, max(pos, c.sent))
 	}
 	q.answered = q.answered || complete
-	if !neverRan(how) && !q.mayHaveRun {
+	if neverRan(how) {
+		c.turned = now
+	} else if !q.mayHaveRun {
 		q.mayHaveRun, q.ranAt = true, c.sent
 	}
 	if q.answered {
 		r.forget(q)
 		return
 	}
-	if neverRan(how) {
-		q.tried = append(q.tried, m)
-	}
 	r.again(q, how, now)
 }
 
