--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,9 @@
 	scoutEvery   = 250 * time.Millisecond // a member that said replica is asked again no sooner
 	coldPart     = 0.5                    // of the cold budget; the rest is for bursts and for what was not seen
 	farther      = 1.3                    // how much longer a member in another zone seems
+	probeAfter   = 150 * time.Millisecond // a member unheard of for this long is probed, where that is allowed
+	probePart    = 0.25                   // probes for each RPC taken
+	probeCredit  = 20.0                   // probes that may be saved up, and sent at the start
 	comeBack     = 300 * time.Millisecond // while nothing better is known
 	tokenKept    = 5 * time.Minute        // the router's memory of a session's write
 	scatter      = 1.4                    // latencies up to this much over the predicted one are reckoned with
@@ -128,6 +131,7 @@
 	zone     driver.Zone
 	checks   bool // members turn away reads that they are too far behind for
 	tick     time.Duration
+	probes   float64 // that may be sent now
 }
 
 // never is a time before all others.
@@ -135,7 +139,7 @@
 
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
 	r := &Router{
-		host: host, chance: pcg.New(seed), settings: settings,
+		host: host, chance: pcg.New(seed), settings: settings, probes: probeCredit,
 		groups:  make(map[driver.Group]*group),
 		members: make(map[driver.Member]*member),
 		rpcs:    make(map[driver.RPC]*rpc),
@@ -145,8 +149,7 @@
 	for i, name := range strings.Split(settings["report.columns"], ",") {
 		r.column[name] = i
 	}
-	r.zone = driver.Zone(r.number("zone", 0))
-	r.checks = settings["family_info.checks"] == "wait" || settings["family_info.checks"] == "refuse"
+	r.zone, r.checks = driver.Zone(r.number("zone", 0)), settings["family_info.checks"] != "none"
 	r.tick = max(r.span("tick", 5000), 5*time.Millisecond)
 	kinds := strings.Split(settings["family_info.needs"], ",")
 	bounds := strings.Split(settings["family_info.bounds"], ",")
@@ -210,6 +213,7 @@
 	}
 	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until}
 	r.rpcs[id], q.token = q, never
+	r.probes = min(r.probes+probePart, probeCredit)
 	if r.settings["family_info.token"] == "remembered" {
 		if token, ok := r.tokens[who]; ok {
 			q.token = token
@@ -517,7 +521,7 @@
 		r.toldPos(m, pos, now)
 		r.toldRole(m, role, now)
 	}
-	r.reported(m, report, now)
+	r.reported(m, report)
 	if how == driver.OK && q.method.need == write && r.settings["family_info.token"] == "remembered" {
 		r.remember(q.session, max(pos, c.sent))
 	}
@@ -642,7 +646,7 @@
 }
 
 // reported reads a load report. Its position is also how old it is at most as a proof of the role.
-func (r *Router) reported(m *member, report []float64, now time.Duration) {
+func (r *Router) reported(m *member, report []float64) {
 	if x0, ok := r.column["x0"]; ok && x0 < len(report) && report[x0] > 0 {
 		pos := time.Duration(report[x0]*float64(time.Second)) - time.Millisecond
 		m.pos = max(m.pos, pos)
@@ -663,12 +667,10 @@
 		return
 	}
 	m.probing = false
-	if !ok {
-		return
+	if ok {
+		m.posAt = r.host.Now()
+		r.reported(m, report)
 	}
-	now := r.host.Now()
-	m.posAt = now
-	r.reported(m, report, now)
 }
 
 // Told brings another driver's words; this module listens to none yet.
@@ -696,23 +698,20 @@
 	for _, m := range r.all {
 		r.watchOver(m, now)
 	}
+	r.probe(now)
 	for _, g := range r.order {
-		r.retry(g)
-	}
-}
-
-func (r *Router) retry(g *group) {
-	waiting := g.held
-	g.held = nil
-	for _, q := range waiting {
-		if q.held {
-			q.held = false
-			r.route(q)
+		waiting := g.held
+		g.held = nil
+		for _, q := range waiting {
+			if q.held {
+				q.held = false
+				r.route(q)
+			}
 		}
 	}
 }
 
-// watchOver probes a member that has not been heard of, and sets aside one that has gone silent.
+// watchOver sets aside a member that has gone silent.
 func (r *Router) watchOver(m *member, now time.Duration) {
 	patience := time.Duration(0)
 	for _, q := range m.out {
@@ -727,16 +726,26 @@
 			}
 		}
 	}
-	every := 150 * time.Millisecond
-	if m.trickle > 0 {
-		every = 500 * time.Millisecond
+}
+
+// probe asks the member not heard of for longest, at most one a tick and a part of the RPCs taken: with many
+// drivers or many members probes would else outnumber RPCs.
+func (r *Router) probe(now time.Duration) {
+	var oldest *member
+	for _, m := range r.all {
+		if m.sendable && !m.probing && now-m.told() > probeAfter && (oldest == nil || m.told() < oldest.told()) {
+			oldest = m
+		}
 	}
-	if r.may("probe") && m.sendable && !m.probing && now-max(m.posAt, m.probedAt) > every {
-		m.probing, m.probedAt = true, now
-		r.host.Probe(m.id)
+	if oldest != nil && r.probes >= 1 && r.may("probe") {
+		r.probes--
+		oldest.probing, oldest.probedAt = true, now
+		r.host.Probe(oldest.id)
 	}
 }
 
+func (m *member) told() time.Duration { return max(m.posAt, m.probedAt) }
+
 func (r *Router) groupOf(id driver.Group) *group {
 	g := r.groups[id]
 	if g == nil {
