A shed RPC may come back within a quarter of its soft deadline

Cause: a shed RPC was told to come back after the whole excess predicted, often past its soft deadline. It may hurt where drivers themselves are short of time, as it brings more tries.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -280,7 +280,7 @@
 	}
 	predicted := time.Duration(float64(r.predict(to, m)) * r.caution(m, to == g.primary))
 	if !scout && predicted > left {
-		r.giveUp(q, predicted-left)
+		r.giveUp(q, min(predicted-left, m.soft/4))
 		return
 	}
 	q.held = false
