--- a/rules/rules.go
+++ b/rules/rules.go
@@ -366,15 +366,13 @@
 			fit = append(fit, m)
 		}
 	}
-	if len(fit) == 0 {
-		return nil
-	}
-	i, j := r.chance.Below(len(fit)), r.chance.Below(len(fit))
-	a, b := fit[i], fit[j]
-	if r.cost(b, q.method) < r.cost(a, q.method) {
-		return b
+	var best *member
+	for n, start := 0, r.chance.Below(max(1, len(fit))); n < len(fit); n++ {
+		if m := fit[(start+n)%len(fit)]; best == nil || r.cost(m, q.method) < r.cost(best, q.method) {
+			best = m
+		}
 	}
-	return a
+	return best
 }
 
 func (r *Router) cost(m *member, meth *method) float64 {
