--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -56,6 +56,7 @@
 	pushed  map[driver.RPC]time.Duration
 	aborted map[driver.RPC]bool
 	calls   int
+	least   int // milliseconds that a client waits at least
 }
 
 const grace, window, coldFor = 250 * ms, time.Second, 10 * time.Second
@@ -67,7 +68,7 @@
 }
 
 func newWorld(t testing.TB, seed uint64, checks string, more ...string) *world {
-	w := &world{t: t, now: time.Second, chance: pcg.New(seed ^ 0x9e3779b97f4a7c15), checks: checks != "none",
+	w := &world{t: t, least: 1000, now: time.Second, chance: pcg.New(seed ^ 0x9e3779b97f4a7c15), checks: checks != "none",
 		nodes: map[driver.Member]*node{}, rpcs: map[driver.RPC]*ask{},
 		pushed: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}}
 	settings := map[string]string{
@@ -215,7 +216,7 @@
 func (w *world) take(method int, token time.Duration) driver.RPC {
 	w.next++
 	q := &ask{method: method, group: w.chance.Below(2), arrived: w.now, last: -1, token: driver.LongAgo}
-	q.until = w.now + time.Duration(300+w.chance.Below(1700))*ms
+	q.until = w.now + time.Duration(w.least+w.chance.Below(2000-w.least))*ms
 	w.rpcs[w.next] = q
 	wrote := time.Duration(0)
 	if token > 0 {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -432,7 +432,7 @@
 }
 
 func (r *Router) hold(q *rpc) {
-	now := r.host.Now()
+	now, g := r.host.Now(), q.group
 	if q.holdUntil == 0 {
 		part := holdPart
 		if q.method.need == write || q.method.need == fresh {
@@ -444,10 +444,8 @@
 		r.giveUp(q, comeBack)
 		return
 	}
-	if !q.held {
-		q.held = true
-		q.group.held = append(q.group.held, q)
-	}
+	q.held = true
+	g.held = append(g.held, q)
 }
 
 // giveUp gives the final answer to an RPC that gets no more call-outs.
@@ -701,7 +699,9 @@
 		waiting := g.held
 		g.held = nil
 		for _, q := range waiting {
-			if q.held {
+			if q.held && now >= q.until-r.tick {
+				r.giveUp(q, 0)
+			} else if q.held {
 				q.held = false
 				r.route(q)
 			}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -14,6 +14,7 @@
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, []string{"none", "wait", "refuse"}[seed%3])
+		w.least = 20
 		bad := []driver.Outcome{driver.Miss, driver.Full, driver.Failed, driver.NoConnection, driver.Broken, driver.TimedOut}
 		for range 4000 {
 			switch dice := w.chance.Below(100); {
