An idle replica unheard of for a while gets the next read that it may answer

Conclusion: kept for what it guards against: any replica that the pick would starve. It costs a read on a member that may still be slow.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -278,6 +278,7 @@
 	if left <= 0 && m.late > 0 {
 		left = q.until - now
 	}
+	left = min(left, q.until-now)
 	predicted := time.Duration(float64(r.predict(to, m)) * r.caution(m, to == g.primary))
 	if !scout && predicted > left {
 		r.giveUp(q, min(predicted-left, m.soft/4))
@@ -358,17 +359,20 @@
 	return r.loadOf(m, now)+work <= room || now-m.loadAt > r.span("rules.cold_window", 1e6)
 }
 
-// companion picks the replica for a read: the better of two random ones known past the floor.
+// companion picks the replica for a read: the quickest known past the floor, but one that is idle and has not
+// been heard of for a while goes first, or what it knows and how quick it is would be forgotten.
 func (r *Router) companion(q *rpc, floor, now time.Duration) *member {
-	var fit []*member
-	for _, m := range q.group.members {
-		if m != q.group.primary && m.pos >= floor && r.open(m, q, now) {
-			fit = append(fit, m)
-		}
-	}
 	var best *member
-	for n, start := 0, r.chance.Below(max(1, len(fit))); n < len(fit); n++ {
-		if m := fit[(start+n)%len(fit)]; best == nil || r.cost(m, q.method) < r.cost(best, q.method) {
+	all := q.group.members
+	for n, start := 0, r.chance.Below(len(all)+1); n < len(all); n++ {
+		m := all[(start+n)%len(all)]
+		if m == q.group.primary || m.pos < floor || !r.open(m, q, now) {
+			continue
+		}
+		if len(m.out) == 0 && now-m.posAt > scoutEvery && 2*r.predict(m, q.method) < q.method.soft {
+			return m
+		}
+		if best == nil || r.cost(m, q.method) < r.cost(best, q.method) {
 			best = m
 		}
 	}
