--- a/rules/rules.go
+++ b/rules/rules.go
@@ -713,12 +713,16 @@
 	}
 }
 
-// watchOver sets aside a member that has gone silent.
+// watchOver sets aside a member that has gone silent: with what it holds, answers should have come several
+// times over. A single slow RPC is weaker proof than a crowd without an answer, so it is given twice the time.
 func (r *Router) watchOver(m *member, now time.Duration) {
 	patience := time.Duration(0)
 	for _, q := range m.out {
 		patience = max(patience, silence*q.method.usual)
 	}
+	if len(m.out) == 1 {
+		patience *= 2
+	}
 	if len(m.out) > 0 && m.trickle == 0 && now-m.heard > patience {
 		r.setAside(m, now, "has gone silent")
 		for _, q := range append([]*rpc(nil), m.out...) {
