A broken connection sets a member aside only when three call-outs fail in a row

Cause: each reset set its member aside; the primary was mostly on a trickle and writes were held and pushed back. Told from a crash: other call-outs to the same member went on being answered. It covers lossy links and connection limits; a crashed member costs up to two more call-outs before it is set aside.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -297,7 +297,8 @@
 	if len(to.out) == 0 {
 		to.heard = max(to.heard, now)
 	}
-	q.calls = append(q.calls, callOut{to: to, sent: now, depth: len(to.out), turned: never, open: true, scout: scout})
+	c := callOut{to: to, sent: now, depth: len(to.out), turned: never, open: true, scout: scout}
+	q.calls = append(q.calls, c)
 	to.out = append(to.out, q)
 	to.load = r.loadOf(to, now) + q.method.usual.Seconds()
 	to.loadAt = now
@@ -585,11 +586,9 @@
 		}
 	case driver.Miss, driver.Full, driver.Failed:
 		m.heard = now
-	case driver.Broken:
-		r.setAside(m, now, "broke a connection")
-	case driver.NoConnection:
-		if m.fails++; m.fails > 1 || m.trickle > 0 {
-			r.setAside(m, now, "takes no connection")
+	case driver.Broken, driver.NoConnection: // once may be the network's doing, in a row it is the member's
+		if m.fails++; m.fails > 2 || m.trickle > 0 {
+			r.setAside(m, now, "breaks or takes no connections")
 		}
 	case driver.TimedOut, driver.Cancelled:
 		r.slower(q.method, m, took)
