Set aside by the part of connections that fail; a failing trickle halves

Cause: with 15% of call-outs reset on all members, a trickle of one fell back and its pause doubled at each reset, so most members, primaries too, took one call-out in two seconds. It covers any trouble that strikes connections of all members alike; a crashed member costs up to four call-outs.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -22,9 +22,12 @@
 const (
 	pinLimit     = 10 * time.Second       // a session stays on the primary no longer after its last write
 	primaryShare = 0.1                    // of the reads that a replica could serve
+	atEase       = 1.5                    // times the usual latency that the primary may show while it takes a share
 	holdPart     = 0.15                   // of a read's time that may pass before it is sent
 	writeHold    = 0.5                    // the same for what only the primary takes
 	silence      = 4                      // usual latencies without any answer make a busy member suspect
+	memory       = 0.25                   // weight of the newest of a member's connections
+	failing      = 0.65                   // part of the connections that fail at a member that is down
 	firstPause   = 200 * time.Millisecond // before the first trickle to a member set aside
 	lastPause    = 2 * time.Second
 	trusted      = 16                     // a trickle that has doubled past this is no longer held back
@@ -72,13 +75,12 @@
 	replicaAt        time.Duration // latest proof that it is a replica
 	heard            time.Duration // latest answer, or start of being busy
 	ratio, depth     float64       // its latencies against the usual; call-outs out when those were sent
+	fails            float64       // part of its latest call-outs that found no connection or lost it
 	load             float64       // work sent of late, in seconds, decaying over the cold window
 	loadAt           time.Duration
 	out              []*rpc
-	fails            int
 	trickle, good    int           // call-outs it may hold, 0 if trusted; answers since that last doubled
 	pause, nextTry   time.Duration // between trickles that fail
-	probing          bool
 	probedAt         time.Duration
 }
 
@@ -170,8 +172,7 @@
 			host.Fault("setting family_info.needs does not say what method " + strconv.Itoa(i) + " needs")
 		}
 		if i < len(bounds) {
-			us, _ := strconv.ParseFloat(bounds[i], 64)
-			m.bound = time.Duration(us) * time.Microsecond
+			m.bound, _ = time.ParseDuration(bounds[i] + "us")
 		}
 		r.methods = append(r.methods, m)
 	}
@@ -258,7 +259,7 @@
 		}
 	case bounded:
 		to = r.companion(q, now-m.bound+early, now)
-		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && r.usualAt(primary) {
+		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && primary.slowness() < atEase {
 			to = primary
 		}
 		if to == nil && r.checks {
@@ -391,10 +392,11 @@
 // predict tells how long the method would take at the member, from its latencies and from how many more
 // call-outs it holds now than it held then.
 func (r *Router) predict(m *member, meth *method) time.Duration {
-	crowd := (float64(len(m.out)) + 1) / (m.depth + 1)
-	return time.Duration(float64(meth.usual) * m.ratio * crowd)
+	return time.Duration(float64(meth.usual) * m.slowness())
 }
 
+func (m *member) slowness() float64 { return m.ratio * (float64(len(m.out)) + 1) / (m.depth + 1) }
+
 // caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not
 // all can be in time, what brings less utility for its work makes room first.
 func (r *Router) caution(meth *method, primary bool) float64 {
@@ -407,10 +409,6 @@
 	return scatter * math.Pow(most/(meth.utility/meth.usual.Seconds()), ranking)
 }
 
-func (r *Router) usualAt(m *member) bool {
-	return m.trickle == 0 && m.ratio*(float64(len(m.out))+1)/(m.depth+1) < 1.5
-}
-
 // lookAgain sends one read to a replica not heard of lately, where members themselves turn away what they are
 // too far behind for: a replica that once fell behind would else never be heard of again.
 func (r *Router) lookAgain(q *rpc, now time.Duration) *member {
@@ -575,7 +573,7 @@
 	case driver.OK:
 		r.latency(q.method, m, took)
 		m.depth += smoothing * (float64(c.depth) - m.depth)
-		m.heard, m.fails, m.pause = now, 0, firstPause
+		m.heard, m.fails, m.pause = now, m.fails*(1-memory), firstPause
 		if m.trickle > 0 {
 			if m.good++; m.good >= m.trickle {
 				m.trickle, m.good = 2*m.trickle, 0
@@ -586,8 +584,8 @@
 		}
 	case driver.Miss, driver.Full, driver.Failed:
 		m.heard = now
-	case driver.Broken, driver.NoConnection: // once may be the network's doing, in a row it is the member's
-		if m.fails++; m.fails > 2 || m.trickle > 0 {
+	case driver.Broken, driver.NoConnection: // now and then is the network's doing, most of them the member's
+		if m.fails += memory * (1 - m.fails); m.fails > failing || m.trickle > 0 {
 			r.setAside(m, now, "breaks or takes no connections")
 		}
 	case driver.TimedOut, driver.Cancelled:
@@ -619,9 +617,11 @@
 	if m.trickle == 0 {
 		r.host.Log(fmt.Sprintf("member %012x set aside: it %s", uint64(m.id), why))
 	}
-	m.trickle, m.good = 1, 0
-	m.pause = min(max(2*m.pause, firstPause), lastPause)
-	m.nextTry = now + m.pause
+	m.trickle, m.good = m.trickle/2, 0
+	if m.trickle == 0 {
+		m.trickle, m.nextTry = 1, now+m.pause
+		m.pause = min(2*m.pause, lastPause)
+	}
 }
 
 func (r *Router) toldPos(m *member, pos, now time.Duration) {
@@ -661,12 +661,7 @@
 
 // Probed brings the result of a probe.
 func (r *Router) Probed(id driver.Member, ok bool, took time.Duration, report []float64) {
-	m := r.members[id]
-	if m == nil {
-		return
-	}
-	m.probing = false
-	if ok {
+	if m := r.members[id]; m != nil && ok {
 		m.posAt = r.host.Now()
 		r.reported(m, report)
 	}
@@ -738,13 +733,13 @@
 func (r *Router) probe(now time.Duration) {
 	var oldest *member
 	for _, m := range r.all {
-		if m.sendable && !m.probing && now-m.told() > probeAfter && (oldest == nil || m.told() < oldest.told()) {
+		if m.sendable && now-m.told() > probeAfter && (oldest == nil || m.told() < oldest.told()) {
 			oldest = m
 		}
 	}
 	if oldest != nil && r.probes >= 1 && r.may("probe") {
 		r.probes--
-		oldest.probing, oldest.probedAt = true, now
+		oldest.probedAt = now
 		r.host.Probe(oldest.id)
 	}
 }
