Latencies that are not seen again fade

Cause: a driver that sent little saw few latencies; once a member looked slow it was predicted late for every RPC, got none, and was never seen quick again. Told from a real shortage by members idle at that driver. Change: a member's ratio fades over 3 s without an answer, and the next answer then weighs the more. It covers every end of a jam. It may hurt where a member stays slow for long: one RPC asks again every few seconds.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -41,6 +41,7 @@
 	tokenKept    = 5 * time.Minute        // the router's memory of a session's write
 	scatter      = 1.4                    // latencies up to this much over the predicted one are reckoned with
 	ranking      = 0.25                   // how strongly utility for work ranks RPCs; 0: not at all
+	fading       = 3 * time.Second        // in which a latency that was not seen again loses its meaning
 	smoothing    = 0.1                    // weight of the newest latency
 	early        = 5 * time.Millisecond   // rounding of positions and late ticks
 )
@@ -76,6 +77,7 @@
 	heard            time.Duration // latest answer, or start of being busy
 	ratio, depth     float64       // its latencies against the usual; call-outs out when those were sent
 	fails            float64       // part of its latest call-outs that found no connection or lost it
+	timedAt          time.Duration // latest latency
 	load             float64       // work sent of late, in seconds, decaying over the cold window
 	loadAt           time.Duration
 	out              []*rpc
@@ -142,11 +144,9 @@
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
 	r := &Router{
 		host: host, chance: pcg.New(seed), settings: settings, probes: probeCredit,
-		groups:  make(map[driver.Group]*group),
-		members: make(map[driver.Member]*member),
-		rpcs:    make(map[driver.RPC]*rpc),
-		tokens:  make(map[driver.Session]time.Duration),
-		column:  make(map[string]int),
+		groups: make(map[driver.Group]*group), members: make(map[driver.Member]*member),
+		rpcs: make(map[driver.RPC]*rpc), tokens: make(map[driver.Session]time.Duration),
+		column: make(map[string]int),
 	}
 	for i, name := range strings.Split(settings["report.columns"], ",") {
 		r.column[name] = i
@@ -259,7 +259,7 @@
 		}
 	case bounded:
 		to = r.companion(q, now-m.bound+early, now)
-		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && primary.slowness() < atEase {
+		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && primary.slowness(now) < atEase {
 			to = primary
 		}
 		if to == nil && r.checks {
@@ -392,10 +392,16 @@
 // predict tells how long the method would take at the member, from its latencies and from how many more
 // call-outs it holds now than it held then.
 func (r *Router) predict(m *member, meth *method) time.Duration {
-	return time.Duration(float64(meth.usual) * m.slowness())
+	return time.Duration(float64(meth.usual) * m.slowness(r.host.Now()))
 }
 
-func (m *member) slowness() float64 { return m.ratio * (float64(len(m.out)) + 1) / (m.depth + 1) }
+func (m *member) slowness(now time.Duration) float64 {
+	return m.ratio * faded(now-m.timedAt) * (float64(len(m.out)) + 1) / (m.depth + 1)
+}
+
+// faded is what is left of an old latency. Without it a member that was once slow is never asked again, and the
+// latency that kept RPCs away is never corrected: a small driver sheds for good after a short jam.
+func faded(age time.Duration) float64 { return math.Exp(-float64(age) / float64(fading)) }
 
 // caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not
 // all can be in time, what brings less utility for its work makes room first.
@@ -600,7 +606,8 @@
 	part := float64(took) / float64(meth.usual)
 	meth.usual += time.Duration(smoothing / 2 * (float64(took)/m.ratio - float64(meth.usual)))
 	meth.usual = max(meth.usual, time.Millisecond)
-	m.ratio = max(0.2, m.ratio+smoothing*(min(part, 10)-m.ratio))
+	weight := max(smoothing, 1-faded(r.host.Now()-m.timedAt))
+	m.ratio, m.timedAt = max(0.2, m.ratio+weight*(min(part, 10)-m.ratio)), r.host.Now()
 }
 
 // slower learns from a call-out that brought no answer: it would have taken longer still. Without it only the
@@ -771,7 +778,7 @@
 	if m == nil {
 		m = &member{
 			id: id, zone: zone, group: g, pos: never, posAt: never, replicaAt: never, heard: never,
-			ratio: 1, pause: firstPause, probedAt: never, loadAt: never / 2, started: started,
+			ratio: 1, timedAt: r.host.Now(), pause: firstPause, probedAt: never, loadAt: never / 2, started: started,
 		}
 		r.members[id] = m
 		r.all = append(r.all, m)
