An RPC that would be shed takes a replica past its token, or a primary at ease

This is an exception to the pin: it acts only where the read would otherwise be pushed back. It covers any busy or slow primary. It may hurt where replicas fall behind from it. Also shorter: a list is read without a second table, outcomes still due are counted.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -110,6 +110,7 @@
 	arrived, until time.Duration
 	token          time.Duration
 	calls          []callOut
+	out            int // call-outs without an outcome yet
 	mayHaveRun     bool
 	ranAt          time.Duration // send of the first call-out that may have run
 	holdUntil      time.Duration
@@ -130,7 +131,6 @@
 	rpcs     map[driver.RPC]*rpc
 	tokens   map[driver.Session]time.Duration
 	dues     due.Queue[func()]
-	seen     map[driver.Member]bool // while a whole list comes
 	column   map[string]int
 	zone     driver.Zone
 	checks   bool // members turn away reads that they are too far behind for
@@ -187,17 +187,15 @@
 	if v, err := strconv.ParseFloat(r.settings[name], 64); err == nil {
 		return v
 	}
-	return otherwise
-}
-
-func (r *Router) must(name string) float64 {
-	v, err := strconv.ParseFloat(r.settings[name], 64)
-	if err != nil {
+	if math.IsNaN(otherwise) {
 		r.host.Fault("setting " + name + " is missing or no number")
+		return 0
 	}
-	return v
+	return otherwise
 }
 
+func (r *Router) must(name string) float64 { return r.number(name, math.NaN()) }
+
 func (r *Router) span(name string, otherwise float64) time.Duration {
 	return time.Duration(r.number(name, otherwise)) * time.Microsecond
 }
@@ -254,9 +252,6 @@
 		if to == nil {
 			to = r.companion(q, q.token, now)
 		}
-		if to == nil {
-			to = primary
-		}
 	case bounded:
 		to = r.companion(q, now-m.bound+early, now)
 		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && primary.slowness(now) < atEase {
@@ -267,9 +262,9 @@
 		}
 	case anyAge:
 		to = r.companion(q, never, now)
-		if to == nil {
-			to = primary
-		}
+	}
+	if to == nil && (m.need == session || m.need == anyAge) {
+		to = primary
 	}
 	if to == nil {
 		r.hold(q)
@@ -280,7 +275,10 @@
 		left = q.until - now
 	}
 	left = min(left, q.until-now)
-	predicted := time.Duration(float64(r.predict(to, m)) * r.caution(m, to == g.primary))
+	predicted := r.cautious(to, m)
+	if other := r.other(q, to, primary, now); predicted > left && other != nil && r.cautious(other, m) <= left {
+		to, predicted = other, 0
+	}
 	if !scout && predicted > left {
 		r.giveUp(q, min(predicted-left, m.soft/4))
 		return
@@ -293,6 +291,18 @@
 	r.send(q, to, timeout, scout)
 }
 
+// other is where an RPC may go that would be shed at its place: a pinned read to a replica known past its token,
+// a read that any replica may answer to the primary at ease. It keeps neither from its ordinary path.
+func (r *Router) other(q *rpc, to, primary *member, now time.Duration) *member {
+	switch {
+	case q.method.need == session && to == primary:
+		return r.companion(q, q.token, now)
+	case q.method.need <= bounded && to != primary && primary != nil && primary.slowness(now) < atEase:
+		return primary
+	}
+	return nil
+}
+
 func (r *Router) send(q *rpc, to *member, timeout time.Duration, scout bool) {
 	now := r.host.Now()
 	if len(to.out) == 0 {
@@ -300,6 +310,7 @@
 	}
 	c := callOut{to: to, sent: now, depth: len(to.out), turned: never, open: true, scout: scout}
 	q.calls = append(q.calls, c)
+	q.out++
 	to.out = append(to.out, q)
 	to.load = r.loadOf(to, now) + q.method.usual.Seconds()
 	to.loadAt = now
@@ -403,6 +414,10 @@
 // latency that kept RPCs away is never corrected: a small driver sheds for good after a short jam.
 func faded(age time.Duration) float64 { return math.Exp(-float64(age) / float64(fading)) }
 
+func (r *Router) cautious(m *member, meth *method) time.Duration {
+	return time.Duration(float64(r.predict(m, meth)) * r.caution(meth, m == m.group.primary))
+}
+
 // caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not
 // all can be in time, what brings less utility for its work makes room first.
 func (r *Router) caution(meth *method, primary bool) float64 {
@@ -462,8 +477,8 @@
 	if q.answered {
 		return
 	}
-	running := r.callOff(q)
-	if q.method.idempotent || !q.mayHaveRun && !running || q.method.tokened && q.method.everywhere {
+	r.callOff(q)
+	if q.method.idempotent || !q.mayHaveRun && q.out == 0 || q.method.tokened && q.method.everywhere {
 		r.host.PushBack(q.id, min(max(wait, 0), r.span("caps.longest_wait", 1e6)))
 	} else {
 		r.host.Abort(q.id)
@@ -472,28 +487,19 @@
 }
 
 func (r *Router) forget(q *rpc) {
-	for _, c := range q.calls {
-		if c.open {
-			return
-		}
-	}
-	if q.answered {
+	if q.answered && q.out == 0 {
 		delete(r.rpcs, q.id)
 	}
 }
 
-// callOff ends the module's interest in an RPC and tells whether a call-out was still out.
-func (r *Router) callOff(q *rpc) (running bool) {
+// callOff ends the module's interest in an RPC.
+func (r *Router) callOff(q *rpc) {
 	q.answered, q.held = true, false
 	for i, c := range q.calls {
-		if c.open {
-			running = true
-			if r.may("cancel") {
-				r.host.Cancel(q.id, i)
-			}
+		if c.open && r.may("cancel") {
+			r.host.Cancel(q.id, i)
 		}
 	}
-	return running
 }
 
 // neverRan tells which outcomes prove that the call-out did not run.
@@ -511,6 +517,7 @@
 	}
 	c := &q.calls[n]
 	c.open = false
+	q.out--
 	m := c.to
 	for i, o := range m.out {
 		if o == q {
@@ -765,9 +772,8 @@
 
 // ListBegins, Listed and ListEnds bring the member list.
 func (r *Router) ListBegins(how driver.Listing) {
-	r.seen = nil
-	if how == driver.Whole || how == driver.Cached {
-		r.seen = make(map[driver.Member]bool)
+	for _, m := range r.all {
+		m.listed = m.listed && how != driver.Whole && how != driver.Cached
 	}
 }
 
@@ -784,34 +790,23 @@
 		r.all = append(r.all, m)
 		g.members = append(g.members, m)
 	}
-	if r.seen != nil {
-		r.seen[id] = true
-	}
 	if started > m.started {
 		m.ratio, m.depth, m.load = 1, 0, 0
 	}
 	m.started = max(m.started, started)
 	m.listed = state != driver.Gone
 	m.sendable = state == driver.Ready
-	if !m.sendable && g.primary == m {
-		g.primary = nil
-	}
 	if primary && m.sendable && g.primary == nil && m.replicaAt == never {
 		g.primary = m
 	}
 }
 
 func (r *Router) ListEnds(how driver.Listing) {
-	if r.seen != nil {
-		for _, m := range r.all {
-			if !r.seen[m.id] {
-				m.listed, m.sendable = false, false
-				if m.group.primary == m {
-					m.group.primary = nil
-				}
-			}
+	for _, m := range r.all {
+		m.sendable = m.sendable && m.listed
+		if !m.sendable && m.group.primary == m {
+			m.group.primary = nil
 		}
-		r.seen = nil
 	}
 	if how == driver.NoList {
 		wait := time.Duration((0.5 + r.chance.Float()) * float64(time.Second))
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -232,3 +232,59 @@
 		t.Fatal("a write past its window was not aborted")
 	}
 }
+
+func TestAnOldLatencyFades(t *testing.T) {
+	w := settled(t, "wait")
+	m := w.r.members[w.order[4]]
+	for range 30 {
+		w.r.latency(w.r.methods[0], m, 5*time.Second)
+	}
+	slow := w.r.predict(m, w.r.methods[0])
+	w.step(10 * time.Second)
+	if now := w.r.predict(m, w.r.methods[0]); now > slow/10 {
+		t.Fatalf("predicted %v ten seconds after the last latency, %v then", now, slow)
+	}
+}
+
+// Connections that break now and then on all members are no reason to set any aside.
+func TestScatteredResetsSetNobodyAside(t *testing.T) {
+	w := settled(t, "wait")
+	for i := range 400 {
+		id := w.take(2, 0)
+		w.step(5 * ms)
+		for w.rpcs[id].open > 0 {
+			how := driver.OK
+			if i%4 == 0 && w.rpcs[id].last == 0 {
+				how = driver.Broken
+			}
+			w.end(id, how)
+		}
+	}
+	for _, m := range w.r.all {
+		if m.trickle > 0 {
+			t.Fatalf("member %d was set aside", m.id)
+		}
+	}
+}
+
+// A pinned read that the primary would answer late takes a replica known past its token, and no other.
+func TestPinnedReadLeavesABusyPrimary(t *testing.T) {
+	w := settled(t, "none")
+	lame := map[driver.Member]bool{102: true, 103: true}
+	w.nodes[102].lag, w.nodes[103].lag = time.Minute, time.Minute
+	w.step(time.Second)
+	for range 60 {
+		w.take(2, 0)
+		w.answerAll()
+		w.step(5 * ms)
+	}
+	for _, p := range w.primary {
+		w.r.members[p].ratio, w.r.members[p].timedAt = 1e6, w.now
+	}
+	token := w.now - 300*ms
+	for range 10 {
+		if to := w.sentTo(t, 1, token); to == w.primary[to%2] || lame[to] {
+			t.Fatalf("pinned read went to %d, the busy primary or a replica behind its token", to)
+		}
+	}
+}
