--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -274,6 +274,7 @@
 	w.nodes[102].lag, w.nodes[103].lag = time.Minute, time.Minute
 	w.step(time.Second)
 	for range 60 {
+		w.take(1, 0)
 		w.take(2, 0)
 		w.answerAll()
 		w.step(5 * ms)
