The driver notices its own halts and how long the client has waited already

Cause: after a halt of the driver all members looked silent and slow; and a client's later try was given the whole soft deadline though it counts from the first. Told from silent members by the timer that came late itself. Change: a timer over 50 ms late marks a halt, silence and latencies of that moment do not count; the length of a try tells an earlier one; what is late already ranks by its late utility. It may hurt where tries have no usual length.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,18 +16,20 @@
 	"passtack/driver"
 	"passtack/internal/due"
 	"passtack/internal/pcg"
+	"passtack/internal/terms"
 )
 
 // What follows is tuned. Each value says what it stands for; none belongs to one deployment.
 const (
 	pinLimit     = 10 * time.Second       // a session stays on the primary no longer after its last write
 	primaryShare = 0.1                    // of the reads that a replica could serve
-	atEase       = 1.5                    // times the usual latency that the primary may show while it takes a share
+	atEase       = 1.5                    // times the usual latency: the most a primary shows that takes a share
 	holdPart     = 0.15                   // of a read's time that may pass before it is sent
 	writeHold    = 0.5                    // the same for what only the primary takes
 	silence      = 4                      // usual latencies without any answer make a busy member suspect
 	memory       = 0.25                   // weight of the newest of a member's connections
 	failing      = 0.65                   // part of the connections that fail at a member that is down
+	halt         = 50 * time.Millisecond  // without a timer: this driver stood still
 	firstPause   = 200 * time.Millisecond // before the first trickle to a member set aside
 	lastPause    = 2 * time.Second
 	trusted      = 16                     // a trickle that has doubled past this is no longer held back
@@ -46,24 +48,16 @@
 	early        = 5 * time.Millisecond   // rounding of positions and late ticks
 )
 
-type need int
-
-const (
-	anyAge need = iota
-	bounded
-	session
-	fresh
-	write
-)
-
-var needs = map[string]need{
-	"any": anyAge, "bounded": bounded, "session": session, "fresh": fresh, "write": write}
+// What a method needs of its member's data: any, bounded, session, fresh or write.
+const anyAge, bounded, session, fresh, write = "any", "bounded", "session", "fresh", "write"
 
 type method struct {
-	need                            need
-	idempotent, tokened, everywhere bool          // everywhere: every member drops its repeats
-	window, soft, bound, usual      time.Duration // usual: the latency seen of late
-	utility, late                   float64
+	need                              string
+	idempotent, tokened, everywhere   bool          // everywhere: every member drops its repeats
+	window, soft, bound, usual, limit time.Duration // usual: the latency seen of late
+	tryLasts                          time.Duration // how long a client waits for a try
+	trySure                           int           // times seen so, less times not
+	utility, late                     float64
 }
 
 type member struct {
@@ -108,6 +102,7 @@
 	group          *group
 	session        driver.Session
 	arrived, until time.Duration
+	wanted         time.Duration // since when, over all tries
 	token          time.Duration
 	calls          []callOut
 	out            int // call-outs without an outcome yet
@@ -120,22 +115,23 @@
 
 // Router is the decision module of one driver.
 type Router struct {
-	host     driver.Host
-	chance   *pcg.Source
-	settings map[string]string
-	methods  []*method
-	groups   map[driver.Group]*group
-	members  map[driver.Member]*member
-	order    []*group // of groups and of all members: as first heard of
-	all      []*member
-	rpcs     map[driver.RPC]*rpc
-	tokens   map[driver.Session]time.Duration
-	dues     due.Queue[func()]
-	column   map[string]int
-	zone     driver.Zone
-	checks   bool // members turn away reads that they are too far behind for
-	tick     time.Duration
-	probes   float64 // that may be sent now
+	host          driver.Host
+	chance        *pcg.Source
+	terms         terms.Terms
+	methods       []*method
+	groups        map[driver.Group]*group
+	members       map[driver.Member]*member
+	order         []*group // of groups and of all members: as first heard of
+	all           []*member
+	rpcs          map[driver.RPC]*rpc
+	tokens        map[driver.Session]time.Duration
+	dues          due.Queue[func()]
+	column        map[string]int
+	zone          driver.Zone
+	checks        bool // members turn away reads that they are too far behind for
+	tick          time.Duration
+	woken, halted time.Duration // latest timer; latest end of a halt of this driver
+	probes        float64       // that may be sent now
 }
 
 // never is a time before all others.
@@ -143,7 +139,7 @@
 
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
 	r := &Router{
-		host: host, chance: pcg.New(seed), settings: settings, probes: probeCredit,
+		host: host, chance: pcg.New(seed), terms: settings, probes: probeCredit,
 		groups: make(map[driver.Group]*group), members: make(map[driver.Member]*member),
 		rpcs: make(map[driver.RPC]*rpc), tokens: make(map[driver.Session]time.Duration),
 		column: make(map[string]int),
@@ -151,31 +147,34 @@
 	for i, name := range strings.Split(settings["report.columns"], ",") {
 		r.column[name] = i
 	}
-	r.zone, r.checks = driver.Zone(r.number("zone", 0)), settings["family_info.checks"] != "none"
-	r.tick = max(r.span("tick", 5000), 5*time.Millisecond)
+	r.zone, r.checks = driver.Zone(r.terms.Number("zone", 0)), settings["family_info.checks"] != "none"
+	r.tick = max(r.terms.Span("tick"), 5*time.Millisecond)
 	kinds := strings.Split(settings["family_info.needs"], ",")
 	bounds := strings.Split(settings["family_info.bounds"], ",")
-	for i := range int(r.must("methods.count")) {
+	for i := range int(r.terms.Number("methods.count", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
 		m := &method{
-			utility: r.number(at+"utility", 1), late: r.number(at+"late_utility", 0),
+			utility: r.terms.Number(at+"utility", 1), late: r.terms.Number(at+"late_utility", 0),
 			idempotent: settings[at+"effect"] == "idempotent", tokened: settings[at+"effect"] == "tokened",
-			everywhere: settings[at+"repeats"] == "all", window: r.span(at+"window", 0),
-			soft: time.Duration(r.must(at+"soft_deadline")) * time.Microsecond,
+			everywhere: settings[at+"repeats"] == "all", window: r.terms.Span(at + "window"),
+			soft: r.terms.Span(at + "soft_deadline"), limit: r.terms.Span(at + "limit"),
 		}
 		m.usual = m.soft / 4
-		known := false
-		if i < len(kinds) {
-			m.need, known = needs[kinds[i]]
+		if i < len(kinds) && strings.Contains("any bounded session fresh write", kinds[i]) {
+			m.need = kinds[i]
 		}
-		if !known {
-			host.Fault("setting family_info.needs does not say what method " + strconv.Itoa(i) + " needs")
+		if m.need == "" || m.soft <= 0 {
+			host.Fault("no usable family_info.needs or soft_deadline is given for " + at)
 		}
 		if i < len(bounds) {
 			m.bound, _ = time.ParseDuration(bounds[i] + "us")
 		}
 		r.methods = append(r.methods, m)
 	}
+	if len(r.methods) == 0 {
+		host.Fault("methods.count is missing or no number")
+	}
+	r.woken, r.halted = host.Now(), never
 	host.WakeAfter(r.tick)
 	if settings["list"] == "asked" {
 		host.Watch(true)
@@ -183,25 +182,6 @@
 	return r
 }
 
-func (r *Router) number(name string, otherwise float64) float64 {
-	if v, err := strconv.ParseFloat(r.settings[name], 64); err == nil {
-		return v
-	}
-	if math.IsNaN(otherwise) {
-		r.host.Fault("setting " + name + " is missing or no number")
-		return 0
-	}
-	return otherwise
-}
-
-func (r *Router) must(name string) float64 { return r.number(name, math.NaN()) }
-
-func (r *Router) span(name string, otherwise float64) time.Duration {
-	return time.Duration(r.number(name, otherwise)) * time.Microsecond
-}
-
-func (r *Router) may(what string) bool { return r.settings["caps."+what] == "true" }
-
 // Take is the ordinary path's start: a client's RPC is here and gets one final answer.
 func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, tenant driver.Tenant,
 	who driver.Session, until, wrote time.Duration, repeat bool) {
@@ -212,8 +192,10 @@
 	}
 	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until}
 	r.rpcs[id], q.token = q, never
+	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
-	if r.settings["family_info.token"] == "remembered" {
+	q.wanted = r.firstSeen(q.method, now, until)
+	if r.terms["family_info.token"] == "remembered" {
 		if token, ok := r.tokens[who]; ok {
 			q.token = token
 		}
@@ -223,6 +205,25 @@
 	r.route(q)
 }
 
+// firstSeen tells since when the client wants the answer. A try lasts as usual or until the client's limit
+// for all tries: another length gives an earlier try away. What waited out a halt of this driver is older.
+func (r *Router) firstSeen(m *method, now, until time.Duration) time.Duration {
+	usual := (until - now - m.tryLasts).Abs() < 2*r.tick
+	if !usual && now != r.halted {
+		if m.trySure--; m.trySure < 0 {
+			m.tryLasts, m.trySure, usual = until-now, 1, true
+		}
+	} else if usual {
+		m.trySure = min(m.trySure+1, trusted)
+	}
+	if usual {
+		return now
+	} else if now == r.halted {
+		return min(now, until-m.tryLasts)
+	}
+	return min(now, until-m.limit)
+}
+
 // route is the ordinary path: it sends the RPC where the design says, holds it briefly, or gives it up.
 func (r *Router) route(q *rpc) {
 	now, g, m := r.host.Now(), q.group, q.method
@@ -245,8 +246,7 @@
 			to = r.companion(q, q.arrived+early, now)
 		}
 	case session:
-		pinned := now-q.token < pinLimit && !g.allPast(q.token)
-		if pinned {
+		if now-q.token < pinLimit && !g.allPast(q.token) {
 			to = primary
 		}
 		if to == nil {
@@ -257,9 +257,6 @@
 		if primary != nil && (to == nil || r.chance.Float() < primaryShare) && primary.slowness(now) < atEase {
 			to = primary
 		}
-		if to == nil && r.checks {
-			to = r.lookAgain(q, now)
-		}
 	case anyAge:
 		to = r.companion(q, never, now)
 	}
@@ -270,16 +267,17 @@
 		r.hold(q)
 		return
 	}
-	left := q.arrived + m.soft - now
+	left, worth := min(q.wanted+m.soft, q.until)-now, 1.0
 	if left <= 0 && m.late > 0 {
-		left = q.until - now
+		left, worth = q.until-now, m.late
 	}
-	left = min(left, q.until-now)
-	predicted := r.cautious(to, m)
-	if other := r.other(q, to, primary, now); predicted > left && other != nil && r.cautious(other, m) <= left {
-		to, predicted = other, 0
+	predicted := r.cautious(to, m, worth)
+	if predicted > left && !scout {
+		if other := r.other(q, to, primary, now); other != nil && r.cautious(other, m, worth) <= left {
+			to, predicted = other, 0
+		}
 	}
-	if !scout && predicted > left {
+	if predicted > left && !scout {
 		r.giveUp(q, min(predicted-left, m.soft/4))
 		return
 	}
@@ -291,13 +289,14 @@
 	r.send(q, to, timeout, scout)
 }
 
-// other is where an RPC may go that would be shed at its place: a pinned read to a replica known past its token,
-// a read that any replica may answer to the primary at ease. It keeps neither from its ordinary path.
+// other is where an RPC may go that would be shed: a pinned read to a replica known past its token, a read
+// for replicas to the primary at ease. It keeps neither from its ordinary path.
 func (r *Router) other(q *rpc, to, primary *member, now time.Duration) *member {
-	switch {
-	case q.method.need == session && to == primary:
+	need := q.method.need
+	if need == session && to == primary {
 		return r.companion(q, q.token, now)
-	case q.method.need <= bounded && to != primary && primary != nil && primary.slowness(now) < atEase:
+	}
+	if (need == bounded || need == anyAge) && primary != nil && primary.slowness(now) < atEase {
 		return primary
 	}
 	return nil
@@ -312,8 +311,7 @@
 	q.calls = append(q.calls, c)
 	q.out++
 	to.out = append(to.out, q)
-	to.load = r.loadOf(to, now) + q.method.usual.Seconds()
-	to.loadAt = now
+	to.load, to.loadAt = r.loadOf(to, now)+q.method.usual.Seconds(), now
 	if scout {
 		q.group.scouts++
 	}
@@ -323,7 +321,7 @@
 // allPast tells whether every replica of the group is known to have applied past the token.
 func (g *group) allPast(token time.Duration) bool {
 	for _, m := range g.members {
-		if m.listed && m != g.primary && m.pos < token {
+		if m.sendable && m != g.primary && m.pos < token {
 			return false
 		}
 	}
@@ -344,19 +342,19 @@
 }
 
 func (r *Router) loadOf(m *member, now time.Duration) float64 {
-	window := r.span("rules.cold_window", 1e6)
+	window := max(r.terms.Span("rules.cold_window"), r.tick)
 	return m.load * math.Exp(-float64(now-m.loadAt)/float64(window))
 }
 
 // coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
 // from what warm members get from it. It also spares members that come back after a lost zone or a deploy.
 func (r *Router) coldRoom(m *member, work float64, now time.Duration) bool {
-	lasts := r.span("rules.cold_lasts", 0)
+	lasts := r.terms.Span("rules.cold_lasts")
 	age := now - m.started
 	if m.started == never || age >= lasts {
 		return true
 	}
-	share := r.number("rules.cold_share", 1)
+	share := r.terms.Number("rules.cold_share", 1)
 	share += (1 - share) * max(0, float64(age)/float64(lasts))
 	total, count := 0.0, 0.0
 	for _, other := range r.all {
@@ -367,22 +365,25 @@
 	}
 	room := 0.0
 	if count > 0 {
-		room = coldPart * share * r.number("rules.cold_multiple", 1) * total / count
+		room = coldPart * share * r.terms.Number("rules.cold_multiple", 1) * total / count
 	}
-	return r.loadOf(m, now)+work <= room || now-m.loadAt > r.span("rules.cold_window", 1e6)
+	return r.loadOf(m, now)+work <= room || now-m.loadAt > r.terms.Span("rules.cold_window")
 }
 
 // companion picks the replica for a read: the quickest known past the floor, but one that is idle and has not
-// been heard of for a while goes first, or what it knows and how quick it is would be forgotten.
+// been heard of for a while goes first, or what it knows and how quick it is would be forgotten. After some
+// seconds it is asked even unproven where members turn away reads themselves: else it might never come back.
 func (r *Router) companion(q *rpc, floor, now time.Duration) *member {
 	var best *member
 	all := q.group.members
 	for n, start := 0, r.chance.Below(len(all)+1); n < len(all); n++ {
 		m := all[(start+n)%len(all)]
-		if m == q.group.primary || m.pos < floor || !r.open(m, q, now) {
+		unheard := len(m.out) == 0 && now-m.posAt > scoutEvery
+		mayAsk := r.checks && unheard && now-m.posAt > lastPause
+		if m == q.group.primary || m.pos < floor && !mayAsk || !r.open(m, q, now) {
 			continue
 		}
-		if len(m.out) == 0 && now-m.posAt > scoutEvery && 2*r.predict(m, q.method) < q.method.soft {
+		if unheard && 2*r.predict(m, q.method) < q.method.soft {
 			return m
 		}
 		if best == nil || r.cost(m, q.method) < r.cost(best, q.method) {
@@ -410,35 +411,21 @@
 	return m.ratio * faded(now-m.timedAt) * (float64(len(m.out)) + 1) / (m.depth + 1)
 }
 
-// faded is what is left of an old latency. Without it a member that was once slow is never asked again, and the
-// latency that kept RPCs away is never corrected: a small driver sheds for good after a short jam.
+// faded is what is left of an old latency. Without it a member once slow is never asked again, and what kept
+// RPCs away is never corrected: a small driver sheds for good after a short jam.
 func faded(age time.Duration) float64 { return math.Exp(-float64(age) / float64(fading)) }
 
-func (r *Router) cautious(m *member, meth *method) time.Duration {
-	return time.Duration(float64(r.predict(m, meth)) * r.caution(meth, m == m.group.primary))
-}
-
-// caution is how much of a method's time must be spare before it is taken: latencies scatter, and where not
-// all can be in time, what brings less utility for its work makes room first.
-func (r *Router) caution(meth *method, primary bool) float64 {
+// cautious is the time that must be left for an RPC to be taken: latencies scatter, and where not all can be
+// in time, what brings less utility for its work makes room first.
+func (r *Router) cautious(to *member, meth *method, worth float64) time.Duration {
 	most := 0.0
 	for _, m := range r.methods {
-		if primary || m.need != write && m.need != fresh {
+		if to == to.group.primary || m.need != write && m.need != fresh {
 			most = max(most, m.utility/m.usual.Seconds())
 		}
 	}
-	return scatter * math.Pow(most/(meth.utility/meth.usual.Seconds()), ranking)
-}
-
-// lookAgain sends one read to a replica not heard of lately, where members themselves turn away what they are
-// too far behind for: a replica that once fell behind would else never be heard of again.
-func (r *Router) lookAgain(q *rpc, now time.Duration) *member {
-	for _, m := range q.group.members {
-		if m != q.group.primary && len(m.out) == 0 && now-m.posAt > scoutEvery && r.open(m, q, now) {
-			return m
-		}
-	}
-	return nil
+	rank := math.Pow(most*meth.usual.Seconds()/(worth*meth.utility), ranking)
+	return time.Duration(float64(r.predict(to, meth)) * scatter * rank)
 }
 
 // scout picks the member most likely to be the primary that nobody has told of yet.
@@ -479,7 +466,7 @@
 	}
 	r.callOff(q)
 	if q.method.idempotent || !q.mayHaveRun && q.out == 0 || q.method.tokened && q.method.everywhere {
-		r.host.PushBack(q.id, min(max(wait, 0), r.span("caps.longest_wait", 1e6)))
+		r.host.PushBack(q.id, min(max(wait, 0), r.terms.Span("caps.longest_wait")))
 	} else {
 		r.host.Abort(q.id)
 	}
@@ -496,7 +483,7 @@
 func (r *Router) callOff(q *rpc) {
 	q.answered, q.held = true, false
 	for i, c := range q.calls {
-		if c.open && r.may("cancel") {
+		if c.open && r.terms.Yes("caps.cancel") {
 			r.host.Cancel(q.id, i)
 		}
 	}
@@ -515,6 +502,7 @@
 	if q == nil || n >= len(q.calls) || !q.calls[n].open {
 		return
 	}
+	r.noticeHalt(now)
 	c := &q.calls[n]
 	c.open = false
 	q.out--
@@ -530,11 +518,11 @@
 	}
 	r.learn(q, c, how, took, now)
 	if role != driver.Unknown {
-		r.toldPos(m, pos, now)
+		m.pos, m.posAt = max(m.pos, pos), now
 		r.toldRole(m, role, now)
 	}
 	r.reported(m, report)
-	if how == driver.OK && q.method.need == write && r.settings["family_info.token"] == "remembered" {
+	if how == driver.OK && q.method.need == write && r.terms["family_info.token"] == "remembered" {
 		r.remember(q.session, max(pos, c.sent))
 	}
 	q.answered = q.answered || complete
@@ -556,10 +544,10 @@
 	recalled := q.recalled
 	q.recalled = false
 	switch {
-	case now >= q.until-r.tick, how == driver.Moot, len(q.calls) >= int(r.number("caps.callouts", 1)):
+	case now >= q.until-r.tick, how == driver.Moot, len(q.calls) >= int(r.terms.Number("caps.callouts", 1)):
 		r.giveUp(q, 0)
 	case how == driver.TimedOut, how == driver.Cancelled && !recalled:
-		r.giveUp(q, r.span("caps.longest_wait", 1e6))
+		r.giveUp(q, r.terms.Span("caps.longest_wait"))
 	case !q.mayHaveRun, m.idempotent, m.tokened && now < q.ranAt+m.window-r.tick:
 		if q.mayHaveRun && !m.idempotent {
 			q.until = min(q.until, q.ranAt+m.window-r.tick)
@@ -610,6 +598,9 @@
 }
 
 func (r *Router) latency(meth *method, m *member, took time.Duration) {
+	if r.halted == r.host.Now() {
+		return
+	}
 	part := float64(took) / float64(meth.usual)
 	meth.usual += time.Duration(smoothing / 2 * (float64(took)/m.ratio - float64(meth.usual)))
 	meth.usual = max(meth.usual, time.Millisecond)
@@ -638,10 +629,6 @@
 	}
 }
 
-func (r *Router) toldPos(m *member, pos, now time.Duration) {
-	m.pos, m.posAt = max(m.pos, pos), now
-}
-
 // toldRole keeps the newest proof of who is primary.
 func (r *Router) toldRole(m *member, role driver.Role, at time.Duration) {
 	g := m.group
@@ -673,7 +660,7 @@
 	}
 }
 
-// Probed brings the result of a probe.
+// Probed brings the result of a probe; Told brings another driver's words, which are not needed here.
 func (r *Router) Probed(id driver.Member, ok bool, took time.Duration, report []float64) {
 	if m := r.members[id]; m != nil && ok {
 		m.posAt = r.host.Now()
@@ -681,7 +668,6 @@
 	}
 }
 
-// Told brings another driver's words; this module listens to none yet.
 func (r *Router) Told(from driver.Peer, text []byte) {}
 
 // ClientLeft ends an RPC whose client is gone.
@@ -692,15 +678,24 @@
 	}
 }
 
+// noticeHalt tells a halt of this driver by its late timer. What came meanwhile is handled all at once:
+// neither the members' silence nor the latencies of that moment mean anything.
+func (r *Router) noticeHalt(now time.Duration) {
+	if now-r.woken > halt {
+		r.halted = now
+		for _, m := range r.all {
+			m.heard = now
+		}
+	}
+}
+
 // Wake is the one periodic timer.
 func (r *Router) Wake() {
 	now := r.host.Now()
+	r.noticeHalt(now)
+	r.woken = now
 	r.host.WakeAfter(r.tick)
-	for {
-		act, ok := r.dues.Pop(now)
-		if !ok {
-			break
-		}
+	for act, ok := r.dues.Pop(now); ok; act, ok = r.dues.Pop(now) {
 		act()
 	}
 	for _, m := range r.all {
@@ -722,7 +717,7 @@
 }
 
 // watchOver sets aside a member that has gone silent: with what it holds, answers should have come several
-// times over. A single slow RPC is weaker proof than a crowd without an answer, so it is given twice the time.
+// times over. One slow RPC is weaker proof than a crowd without an answer, so it is given twice the time.
 func (r *Router) watchOver(m *member, now time.Duration) {
 	patience := time.Duration(0)
 	for _, q := range m.out {
@@ -734,7 +729,7 @@
 	if len(m.out) > 0 && m.trickle == 0 && now-m.heard > patience {
 		r.setAside(m, now, "has gone silent")
 		for _, q := range append([]*rpc(nil), m.out...) {
-			if q.method.idempotent && !q.answered && r.may("cancel") && len(q.calls) == 1 {
+			if q.method.idempotent && !q.answered && r.terms.Yes("caps.cancel") && len(q.calls) == 1 {
 				q.recalled = true
 				r.host.Cancel(q.id, len(q.calls)-1)
 			}
@@ -751,7 +746,7 @@
 			oldest = m
 		}
 	}
-	if oldest != nil && r.probes >= 1 && r.may("probe") {
+	if oldest != nil && r.probes >= 1 && r.terms.Yes("caps.probe") {
 		r.probes--
 		oldest.probedAt = now
 		r.host.Probe(oldest.id)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -289,3 +289,40 @@
 		}
 	}
 }
+
+// A driver that stood still handles late all that came meanwhile; no member is to blame for that.
+func TestAHaltOfTheDriverBlamesNobody(t *testing.T) {
+	w := settled(t, "wait")
+	for range 20 {
+		w.take(2, 0)
+	}
+	before := w.r.predict(w.r.members[w.order[4]], w.r.methods[2])
+	w.now += 700 * ms
+	for len(w.open) > 10 {
+		w.end(w.open[0], driver.OK)
+	}
+	w.r.Wake()
+	w.answerAll()
+	if after := w.r.predict(w.r.members[w.order[4]], w.r.methods[2]); after > 2*before {
+		t.Fatalf("predicted %v after a halt, %v before", after, before)
+	}
+	for _, m := range w.r.all {
+		if m.trickle > 0 {
+			t.Fatalf("member %d was set aside for the driver's halt", m.id)
+		}
+	}
+}
+
+// A try cut short by the client's limit is not the first: the soft deadline has run since that one.
+func TestALaterTryCountsFromTheFirst(t *testing.T) {
+	w := newWorld(t, 1, "wait", "methods.0.limit=2000000")
+	m := w.r.methods[0]
+	for range 5 {
+		if got := w.r.firstSeen(m, w.now, w.now+1500*ms); got != w.now {
+			t.Fatalf("a first try counts from %v, came at %v", got, w.now)
+		}
+	}
+	if got := w.r.firstSeen(m, w.now, w.now+1200*ms); got != w.now-800*ms {
+		t.Fatalf("a try that ends 1.2 s from now counts from %v, now is %v", got, w.now)
+	}
+}
