--- a/rules/rules.go
+++ b/rules/rules.go
@@ -194,7 +194,7 @@
 	r.rpcs[id], q.token = q, never
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
-	q.wanted = r.firstSeen(q.method, now, until)
+	q.wanted = r.firstSeen(q.method, now, until, repeat)
 	if r.terms["family_info.token"] == "remembered" {
 		if token, ok := r.tokens[who]; ok {
 			q.token = token
@@ -207,7 +207,7 @@
 
 // firstSeen tells since when the client wants the answer. A try lasts as usual or until the client's limit
 // for all tries: another length gives an earlier try away. What waited out a halt of this driver is older.
-func (r *Router) firstSeen(m *method, now, until time.Duration) time.Duration {
+func (r *Router) firstSeen(m *method, now, until time.Duration, repeat bool) time.Duration {
 	usual := (until - now - m.tryLasts).Abs() < 2*r.tick
 	if !usual && now != r.halted {
 		if m.trySure--; m.trySure < 0 {
@@ -216,7 +216,9 @@
 	} else if usual {
 		m.trySure = min(m.trySure+1, trusted)
 	}
-	if usual {
+	if usual && repeat {
+		return now - m.soft/4 // the time to come back is that at most
+	} else if usual {
 		return now
 	} else if now == r.halted {
 		return min(now, until-m.tryLasts)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -318,11 +318,11 @@
 	w := newWorld(t, 1, "wait", "methods.0.limit=2000000")
 	m := w.r.methods[0]
 	for range 5 {
-		if got := w.r.firstSeen(m, w.now, w.now+1500*ms); got != w.now {
+		if got := w.r.firstSeen(m, w.now, w.now+1500*ms, false); got != w.now {
 			t.Fatalf("a first try counts from %v, came at %v", got, w.now)
 		}
 	}
-	if got := w.r.firstSeen(m, w.now, w.now+1200*ms); got != w.now-800*ms {
+	if got := w.r.firstSeen(m, w.now, w.now+1200*ms, true); got != w.now-800*ms {
 		t.Fatalf("a try that ends 1.2 s from now counts from %v, now is %v", got, w.now)
 	}
 }
