The cold budget is measured by what warm primaries bear where that is more

Cause: groups renewed as a whole had only cold members, and half the budget of the mean warm member, most of them lightly used replicas, is about one RPC a window for a small driver. Told from a jam by RPCs that found no member. Change: the yardstick is the mean of warm primaries or of warm replicas, whichever is more; a warm member that bears so much proves that it can. It covers a lost zone's return. It may hurt with members of unequal size.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -349,7 +349,7 @@
 }
 
 // coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
-// from what warm members get from it. It also spares members that come back after a lost zone or a deploy.
+// from what warm members bear from it, primaries or replicas. It also spares those back after a lost zone.
 func (r *Router) coldRoom(m *member, work float64, now time.Duration) bool {
 	lasts := r.terms.Span("rules.cold_lasts")
 	age := now - m.started
@@ -358,17 +358,19 @@
 	}
 	share := r.terms.Number("rules.cold_share", 1)
 	share += (1 - share) * max(0, float64(age)/float64(lasts))
-	total, count := 0.0, 0.0
+	var total, count [2]float64 // of replicas, of primaries
 	for _, other := range r.all {
 		if other.sendable && other.trickle == 0 && (other.started == never || now-other.started >= lasts) {
-			total += r.loadOf(other, now)
-			count++
+			kind := 0
+			if other == other.group.primary {
+				kind = 1
+			}
+			total[kind] += r.loadOf(other, now)
+			count[kind]++
 		}
 	}
-	room := 0.0
-	if count > 0 {
-		room = coldPart * share * r.terms.Number("rules.cold_multiple", 1) * total / count
-	}
+	borne := max(total[0]/max(count[0], 1), total[1]/max(count[1], 1))
+	room := coldPart * share * r.terms.Number("rules.cold_multiple", 1) * borne
 	return r.loadOf(m, now)+work <= room || now-m.loadAt > r.terms.Span("rules.cold_window")
 }
 
