Shares of tenants count: what goes beyond one ranks by its lower utility

Each driver reckons with its part of a tenant's share, a second's worth at most; what is sent counts, so that clients' retries do not use up a share. It may hurt where drivers get uneven parts of a tenant's RPCs.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -61,23 +62,21 @@
 }
 
 type member struct {
-	id               driver.Member
-	zone             driver.Zone
-	group            *group
-	listed, sendable bool          // sendable: listed as ready
-	started          time.Duration // the latest start that the list told
-	pos, posAt       time.Duration // it has applied all commits up to pos; when that was told
-	replicaAt        time.Duration // latest proof that it is a replica
-	heard            time.Duration // latest answer, or start of being busy
-	ratio, depth     float64       // its latencies against the usual; call-outs out when those were sent
-	fails            float64       // part of its latest call-outs that found no connection or lost it
-	timedAt          time.Duration // latest latency
-	load             float64       // work sent of late, in seconds, decaying over the cold window
-	loadAt           time.Duration
-	out              []*rpc
-	trickle, good    int           // call-outs it may hold, 0 if trusted; answers since that last doubled
-	pause, nextTry   time.Duration // between trickles that fail
-	probedAt         time.Duration
+	id                        driver.Member
+	zone                      driver.Zone
+	group                     *group
+	listed, sendable          bool          // sendable: listed as ready
+	started                   time.Duration // the latest start that the list told
+	pos, posAt                time.Duration // it has applied all commits up to pos; when that was told
+	replicaAt                 time.Duration // latest proof that it is a replica
+	heard                     time.Duration // latest answer, or start of being busy
+	ratio, depth              float64       // its latencies against the usual; call-outs out then
+	fails                     float64       // part of its latest call-outs that found no connection or lost it
+	load                      float64       // work sent of late, in seconds, decaying over the cold window
+	out                       []*rpc
+	trickle, good             int           // call-outs it may hold, 0: trusted; answers since that doubled
+	pause, nextTry            time.Duration // between trickles that fail
+	timedAt, loadAt, probedAt time.Duration // latest latency, call-out and probe
 }
 
 type group struct {
@@ -97,20 +96,20 @@
 }
 
 type rpc struct {
-	id             driver.RPC
-	method         *method
-	group          *group
-	session        driver.Session
-	arrived, until time.Duration
-	wanted         time.Duration // since when, over all tries
-	token          time.Duration
-	calls          []callOut
-	out            int // call-outs without an outcome yet
-	mayHaveRun     bool
-	ranAt          time.Duration // send of the first call-out that may have run
-	holdUntil      time.Duration
-	held, answered bool
-	recalled       bool // called off to be sent elsewhere
+	id               driver.RPC
+	method           *method
+	group            *group
+	session          driver.Session
+	arrived, until   time.Duration
+	tenant           driver.Tenant
+	wanted           time.Duration // since when, over all tries
+	token            time.Duration
+	calls            []callOut
+	out              int // call-outs without an outcome yet
+	mayHaveRun       bool
+	ranAt, holdUntil time.Duration // send of the first call-out that may have run; end of its wait
+	held, answered   bool
+	recalled         bool // called off to be sent elsewhere
 }
 
 // Router is the decision module of one driver.
@@ -124,6 +123,7 @@
 	order         []*group // of groups and of all members: as first heard of
 	all           []*member
 	rpcs          map[driver.RPC]*rpc
+	quota, room   []float64 // by tenant: RPCs a second in its share here; those it may send now
 	tokens        map[driver.Session]time.Duration
 	dues          due.Queue[func()]
 	column        map[string]int
@@ -171,6 +171,10 @@
 		}
 		r.methods = append(r.methods, m)
 	}
+	for i := range int(r.terms.Number("tenants.count", 0)) {
+		quota := r.terms.Number("tenants."+strconv.Itoa(i)+".quota", 0) / r.terms.Number("drivers", 1)
+		r.quota, r.room = append(r.quota, quota), append(r.room, quota)
+	}
 	if len(r.methods) == 0 {
 		host.Fault("methods.count is missing or no number")
 	}
@@ -183,7 +187,7 @@
 }
 
 // Take is the ordinary path's start: a client's RPC is here and gets one final answer.
-func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, tenant driver.Tenant,
+func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, whose driver.Tenant,
 	who driver.Session, until, wrote time.Duration, repeat bool) {
 	now := r.host.Now()
 	if int(meth) >= len(r.methods) {
@@ -191,14 +195,12 @@
 		return
 	}
 	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until}
-	r.rpcs[id], q.token = q, never
+	r.rpcs[id], q.token, q.tenant = q, never, whose
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
 	q.wanted = r.firstSeen(q.method, now, until, repeat)
-	if r.terms["family_info.token"] == "remembered" {
-		if token, ok := r.tokens[who]; ok {
-			q.token = token
-		}
+	if token, ok := r.tokens[who]; ok {
+		q.token = token
 	} else if wrote > 0 {
 		q.token = now - wrote + time.Millisecond
 	}
@@ -234,13 +236,11 @@
 		primary = nil
 	}
 	var to *member
-	scout := false
 	switch m.need {
 	case write:
 		to = primary
 		if to == nil && g.scouts == 0 {
 			to = r.scout(q, now)
-			scout = to != nil
 		}
 	case fresh:
 		to = primary
@@ -269,10 +269,14 @@
 		r.hold(q)
 		return
 	}
+	scout := m.need == write && to != primary
 	left, worth := min(q.wanted+m.soft, q.until)-now, 1.0
 	if left <= 0 && m.late > 0 {
 		left, worth = q.until-now, m.late
 	}
+	if int(q.tenant) < len(r.room) && r.room[q.tenant] < 1 {
+		worth *= r.terms.Number("over_share", 1)
+	}
 	predicted := r.cautious(to, m, worth)
 	if predicted > left && !scout {
 		if other := r.other(q, to, primary, now); other != nil && r.cautious(other, m, worth) <= left {
@@ -317,6 +321,9 @@
 	if scout {
 		q.group.scouts++
 	}
+	if len(q.calls) == 1 && int(q.tenant) < len(r.room) {
+		r.room[q.tenant] = max(r.room[q.tenant]-1, 0)
+	}
 	r.host.CallOut(q.id, to.id, timeout)
 }
 
@@ -358,18 +365,15 @@
 	}
 	share := r.terms.Number("rules.cold_share", 1)
 	share += (1 - share) * max(0, float64(age)/float64(lasts))
-	var total, count [2]float64 // of replicas, of primaries
+	total, count := make(map[bool]float64), make(map[bool]float64) // of replicas and of primaries
 	for _, other := range r.all {
 		if other.sendable && other.trickle == 0 && (other.started == never || now-other.started >= lasts) {
-			kind := 0
-			if other == other.group.primary {
-				kind = 1
-			}
+			kind := other == other.group.primary
 			total[kind] += r.loadOf(other, now)
 			count[kind]++
 		}
 	}
-	borne := max(total[0]/max(count[0], 1), total[1]/max(count[1], 1))
+	borne := max(total[false]/max(count[false], 1), total[true]/max(count[true], 1))
 	room := coldPart * share * r.terms.Number("rules.cold_multiple", 1) * borne
 	return r.loadOf(m, now)+work <= room || now-m.loadAt > r.terms.Span("rules.cold_window")
 }
@@ -511,12 +515,8 @@
 	c.open = false
 	q.out--
 	m := c.to
-	for i, o := range m.out {
-		if o == q {
-			m.out = append(m.out[:i], m.out[i+1:]...)
-			break
-		}
-	}
+	i := slices.Index(m.out, q)
+	m.out = slices.Delete(m.out, i, i+1)
 	if c.scout {
 		q.group.scouts--
 	}
@@ -594,7 +594,10 @@
 			r.setAside(m, now, "breaks or takes no connections")
 		}
 	case driver.TimedOut, driver.Cancelled:
-		r.slower(q.method, m, took)
+		// It would have taken longer still. With the quick ones alone a jam would look like a fair day.
+		if float64(took) > float64(q.method.usual)*m.ratio {
+			r.latency(q.method, m, took)
+		}
 		if m.trickle > 0 && m.heard <= c.sent {
 			r.setAside(m, now, "still silent")
 		}
@@ -612,14 +615,6 @@
 	m.ratio, m.timedAt = max(0.2, m.ratio+weight*(min(part, 10)-m.ratio)), r.host.Now()
 }
 
-// slower learns from a call-out that brought no answer: it would have taken longer still. Without it only the
-// quick ones would be seen, and a jam in which most time out would look like a fair day.
-func (r *Router) slower(meth *method, m *member, took time.Duration) {
-	if float64(took) > float64(meth.usual)*m.ratio {
-		r.latency(meth, m, took)
-	}
-}
-
 // setAside leaves a member a trickle. It answers every symptom of a member that does not answer: crashed,
 // hung, cut off, full of connections. Where the whole group is struck, the trickle finds the first one back.
 func (r *Router) setAside(m *member, now time.Duration, why string) {
@@ -705,6 +700,9 @@
 	for _, m := range r.all {
 		r.watchOver(m, now)
 	}
+	for i, quota := range r.quota {
+		r.room[i] = min(r.room[i]+quota*r.tick.Seconds(), quota)
+	}
 	r.probe(now)
 	for _, g := range r.order {
 		waiting := g.held
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -126,7 +126,7 @@
 	m := w.r.members[w.order[4]]
 	before := w.r.predict(m, w.r.methods[0])
 	for range 5 {
-		w.r.slower(w.r.methods[0], m, 2*time.Second)
+		w.r.learn(&rpc{method: w.r.methods[0]}, &callOut{to: m}, driver.TimedOut, 2*time.Second, w.now)
 	}
 	if after := w.r.predict(m, w.r.methods[0]); after <= before {
 		t.Fatalf("predicted %v after call-outs that never came back, %v before", after, before)
@@ -326,3 +326,23 @@
 		t.Fatalf("a try that ends 1.2 s from now counts from %v, now is %v", got, w.now)
 	}
 }
+
+// What a tenant asks beyond its share needs more time to spare, and is shed first.
+func TestBeyondItsShareATenantIsShedFirst(t *testing.T) {
+	w := settled(t, "wait", "tenants.count=1", "tenants.0.quota=10", "drivers=1", "over_share=0.2")
+	w.step(1200 * ms) // its share is whole again
+	taken := 0
+	for range 20 {
+		for _, m := range w.r.all {
+			m.ratio, m.depth, m.timedAt = 350, 0, w.now
+		}
+		w.r.methods[2].usual, w.r.methods[4].usual = ms, ms
+		if id := w.take(2, 0); w.rpcs[id].last >= 0 {
+			taken++
+		}
+		w.answerAll()
+	}
+	if taken < 8 || taken > 12 {
+		t.Fatalf("%d of 20 RPCs taken at once from a tenant with a share of 10 a second", taken)
+	}
+}
