--- a/rules/rules.go
+++ b/rules/rules.go
@@ -290,7 +290,7 @@
 	q.held = false
 	timeout := time.Duration(0)
 	if m.late == 0 && m.idempotent {
-		timeout = left
+		timeout = min(q.arrived+m.soft, q.until) - now
 	}
 	r.send(q, to, timeout, scout)
 }
