One latency counts no more than three times the predicted

It covers any member or method with a long tail. It may hurt where a jam comes in one jump, as it is seen a few answers later.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -45,6 +45,7 @@
 	scatter      = 1.4                    // latencies up to this much over the predicted one are reckoned with
 	ranking      = 0.25                   // how strongly utility for work ranks RPCs; 0: not at all
 	fading       = 3 * time.Second        // in which a latency that was not seen again loses its meaning
+	outlier      = 3                      // times the predicted latency: more counts no more
 	smoothing    = 0.1                    // weight of the newest latency
 	early        = 5 * time.Millisecond   // rounding of positions and late ticks
 )
@@ -53,12 +54,11 @@
 const anyAge, bounded, session, fresh, write = "any", "bounded", "session", "fresh", "write"
 
 type method struct {
-	need                              string
-	idempotent, tokened, everywhere   bool          // everywhere: every member drops its repeats
-	window, soft, bound, usual, limit time.Duration // usual: the latency seen of late
-	tryLasts                          time.Duration // how long a client waits for a try
-	trySure                           int           // times seen so, less times not
-	utility, late                     float64
+	need                                        string
+	idempotent, tokened, everywhere             bool          // everywhere: every member drops its repeats
+	window, soft, bound, limit, usual, tryLasts time.Duration // usual: latency of late; tryLasts: a try
+	trySure                                     int           // times seen so, less times not
+	utility, late                               float64
 }
 
 type member struct {
@@ -608,11 +608,12 @@
 	if r.halted == r.host.Now() {
 		return
 	}
+	took = min(took, time.Duration(outlier*m.ratio*float64(meth.usual)))
 	part := float64(took) / float64(meth.usual)
 	meth.usual += time.Duration(smoothing / 2 * (float64(took)/m.ratio - float64(meth.usual)))
 	meth.usual = max(meth.usual, time.Millisecond)
 	weight := max(smoothing, 1-faded(r.host.Now()-m.timedAt))
-	m.ratio, m.timedAt = max(0.2, m.ratio+weight*(min(part, 10)-m.ratio)), r.host.Now()
+	m.ratio, m.timedAt = max(0.2, m.ratio+weight*(part-m.ratio)), r.host.Now()
 }
 
 // setAside leaves a member a trickle. It answers every symptom of a member that does not answer: crashed,
