--- a/rules/rules.go
+++ b/rules/rules.go
@@ -270,16 +270,16 @@
 		return
 	}
 	scout := m.need == write && to != primary
-	left, worth := min(q.wanted+m.soft, q.until)-now, 1.0
+	left, utility := min(q.wanted+m.soft, q.until)-now, m.utility
 	if left <= 0 && m.late > 0 {
-		left, worth = q.until-now, m.late
+		left, utility = q.until-now, m.late*m.utility
 	}
 	if int(q.tenant) < len(r.room) && r.room[q.tenant] < 1 {
-		worth *= r.terms.Number("over_share", 1)
+		utility *= r.terms.Number("over_share", 1)
 	}
-	predicted := r.cautious(to, m, worth)
+	predicted := r.cautious(to, m, utility)
 	if predicted > left && !scout {
-		if other := r.other(q, to, primary, now); other != nil && r.cautious(other, m, worth) <= left {
+		if other := r.other(q, to, primary, now); other != nil && r.cautious(other, m, utility) <= left {
 			to, predicted = other, 0
 		}
 	}
@@ -425,14 +425,14 @@
 
 // cautious is the time that must be left for an RPC to be taken: latencies scatter, and where not all can be
 // in time, what brings less utility for its work makes room first.
-func (r *Router) cautious(to *member, meth *method, worth float64) time.Duration {
+func (r *Router) cautious(to *member, meth *method, utility float64) time.Duration {
 	most := 0.0
 	for _, m := range r.methods {
 		if to == to.group.primary || m.need != write && m.need != fresh {
 			most = max(most, m.utility/m.usual.Seconds())
 		}
 	}
-	rank := math.Pow(most*meth.usual.Seconds()/(worth*meth.utility), ranking)
+	rank := math.Pow(most*meth.usual.Seconds()/utility, ranking)
 	return time.Duration(float64(r.predict(to, meth)) * scatter * rank)
 }
 
