--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,310 @@
+// Package clients is the side of the driver that clients speak with.
+package clients
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/loop"
+	"passtack/internal/pgwire"
+	"passtack/internal/slots"
+)
+
+// Host takes the RPCs that clients send.
+type Host interface {
+	Take(from slots.Handle, method driver.Method, group driver.Group, session driver.Session,
+		until, wrote time.Duration, repeat bool) driver.RPC
+	ClientLeft(rpc driver.RPC)
+	Count(what string)
+}
+
+// Front is all that clients are connected to.
+type Front struct {
+	loop     *loop.Loop
+	host     Host
+	methods  map[string]driver.Method
+	sessions map[driver.Method]bool // methods whose quoted key names the session
+	clients  slots.Table[*client]
+	listener *loop.Listener
+	leaving  bool // connections end between RPCs
+}
+
+type client struct {
+	front   *Front
+	handle  slots.Handle
+	stream  *loop.Stream
+	started bool
+	gone    bool
+	rpc     driver.RPC // that is being served
+	serving bool
+	asking  bool // the host is being asked to take it
+	size    int  // bytes of the message that asked for it
+	text    int  // where the statement starts in the message
+	budget  [2]int
+	idle    time.Duration // since when nothing is asked
+}
+
+// Listen starts to take clients in. The methods are named in their order.
+func Listen(l *loop.Loop, host Host, at netip.AddrPort, methods []string, sessions []bool) (*Front, error) {
+	f := &Front{loop: l, host: host, methods: make(map[string]driver.Method), sessions: make(map[driver.Method]bool)}
+	for i, name := range methods {
+		f.methods[name] = driver.Method(i)
+		f.sessions[driver.Method(i)] = sessions[i]
+	}
+	var err error
+	f.listener, err = l.Listen(at, pgwire.Most+1, f.accept)
+	return f, err
+}
+
+func (f *Front) accept(open func(loop.Owner) *loop.Stream) {
+	c := &client{front: f, idle: f.loop.Now()}
+	if c.stream = open(c); c.stream == nil {
+		return
+	}
+	if c.handle = f.clients.Put(c); c.handle == 0 {
+		c.stream.Close()
+		return
+	}
+	f.host.Count("clients_accepted")
+}
+
+func (c *client) Opened() {}
+
+func (c *client) Closed(cause error) {
+	c.front.clients.Drop(c.handle)
+	c.gone = true
+	if c.serving {
+		c.serving = false
+		c.front.host.ClientLeft(c.rpc)
+	}
+}
+
+// close ends the connection once what was said has been written.
+func (c *client) close() {
+	c.gone = true
+	c.stream.CloseWhenSent()
+}
+
+func (c *client) fail(code, message string) {
+	c.front.host.Count("clients_refused")
+	c.stream.Send(pgwire.AppendError(nil, true, code, message, -1))
+	c.close()
+}
+
+func (c *client) Input(in []byte) int {
+	if c.serving {
+		return 0
+	}
+	if c.gone {
+		return len(in)
+	}
+	c.idle = c.front.loop.Now()
+	if !c.started {
+		return c.start(in)
+	}
+	kind, body, size, err := pgwire.Next(in)
+	if err != nil {
+		c.fail("08P01", err.Error())
+		return len(in)
+	}
+	if kind != 'Q' && kind != 'X' {
+		c.fail("08P01", "only simple queries are served")
+		return len(in)
+	}
+	if size == 0 {
+		return 0
+	}
+	if kind == 'X' {
+		c.close()
+		return len(in)
+	}
+	text, ok := pgwire.Text(body)
+	if !ok {
+		c.fail("08P01", "a query without its end")
+		return len(in)
+	}
+	return c.query(text, size)
+}
+
+func (c *client) start(in []byte) int {
+	code, size, err := pgwire.First(in)
+	switch {
+	case err != nil:
+		c.fail("08P01", err.Error())
+		return len(in)
+	case size == 0:
+		return 0
+	case code == pgwire.SSLRequest || code == pgwire.GSSRequest:
+		c.stream.Send([]byte{'N'})
+	case code == pgwire.CancelRequest:
+		c.close()
+	case code>>16 != pgwire.Version3>>16:
+		c.fail("0A000", "only version 3 of the protocol is spoken")
+	default:
+		c.started = true
+		c.stream.Send(pgwire.AppendWelcome(nil, uint32(c.handle)))
+	}
+	return size
+}
+
+func (c *client) query(text []byte, size int) int {
+	f := c.front
+	var method, limit, group, after []byte
+	repeat, wrote := false, time.Duration(0)
+	rest, ok := pgwire.Comment(text, func(name, value []byte, from, to int) {
+		switch string(name) {
+		case "c":
+			method = value
+		case "d":
+			limit, c.budget = value, [2]int{from, to}
+		case "cluster":
+			group = value
+		case "after":
+			after = value
+		case "r":
+			repeat = string(value) == "1"
+		}
+	})
+	if !ok {
+		c.bare(text)
+		return size
+	}
+	number, known := f.methods[string(method)]
+	millis, err := strconv.ParseInt(string(limit), 10, 32)
+	in, wrong := strconv.ParseUint(string(group), 10, 16)
+	if !known || err != nil || wrong != nil || len(rest) == 0 {
+		f.host.Count("clients_unclear")
+		c.stream.Send(pgwire.AppendError(nil, false, "08P01", "the comment of the statement is of no use", -1),
+			pgwire.AppendReady(nil))
+		return size
+	}
+	session := driver.Session(0)
+	if key := pgwire.Quoted(rest); f.sessions[number] && key != nil {
+		hash := fnv.New64a()
+		hash.Write(key)
+		session = driver.Session(max(1, hash.Sum64()))
+	}
+	if commit, err := strconv.ParseInt(string(after), 10, 64); err == nil && commit > 0 {
+		wrote = max(1, f.loop.Now()-time.Duration(commit)*time.Millisecond)
+	}
+	until := f.loop.Earliest() + time.Duration(millis)*time.Millisecond
+	c.serving, c.asking, c.size, c.text = true, true, size, 5
+	c.rpc = f.host.Take(c.handle, number, driver.Group(in), session, until, wrote, repeat)
+	if c.asking = false; c.serving {
+		return 0
+	}
+	return size
+}
+
+// bare answers what is no statement of an RPC: the empty query, by which the front sees that this driver is
+// ready, and commands that change nothing here.
+func (c *client) bare(text []byte) {
+	word := ""
+	for _, b := range text {
+		if b|0x20 >= 'a' && b|0x20 <= 'z' {
+			word += string(b &^ 0x20)
+		} else if word != "" {
+			break
+		} else if b != ' ' && b != ';' && b != '\n' && b != '\t' && b != '\r' {
+			word = "?"
+			break
+		}
+	}
+	switch word {
+	case "":
+		c.stream.Send(pgwire.AppendEmpty(nil))
+	case "SET", "RESET", "DISCARD":
+		c.stream.Send(pgwire.AppendDone(nil, word))
+	default:
+		c.front.host.Count("clients_unclear")
+		c.stream.Send(pgwire.AppendError(nil, false, "08P01", "a statement without a comment", -1),
+			pgwire.AppendReady(nil))
+	}
+}
+
+// Statement is the text of the RPC that the client waits for, before and after the time it gives.
+func (f *Front) Statement(h slots.Handle) (before, after []byte) {
+	c := f.clients.Get(h)
+	if c == nil || !c.serving {
+		return nil, nil
+	}
+	text := c.stream.Unread()[c.text : c.size-1]
+	return text[:c.budget[0]], text[c.budget[1]:]
+}
+
+// Answer passes a member's rows on.
+func (f *Front) Answer(h slots.Handle, rows ...[]byte) {
+	f.end(h, append(rows, pgwire.AppendReady(nil))...)
+}
+
+// PushBack tells the client that it may come again, after some time if one is given.
+func (f *Front) PushBack(h slots.Handle, comeBack time.Duration) {
+	detail := -1
+	if comeBack > 0 {
+		detail = int((comeBack + time.Millisecond - 1) / time.Millisecond)
+	}
+	f.end(h, pgwire.AppendError(nil, false, "53300", "pushed back", detail), pgwire.AppendReady(nil))
+}
+
+// Abort tells the client that the RPC failed and may have run.
+func (f *Front) Abort(h slots.Handle) {
+	f.end(h, pgwire.AppendError(nil, false, "58000", "aborted", -1), pgwire.AppendReady(nil))
+}
+
+func (f *Front) end(h slots.Handle, parts ...[]byte) {
+	c := f.clients.Get(h)
+	if c == nil || !c.serving {
+		return
+	}
+	c.serving, c.idle = false, f.loop.Now()
+	c.stream.Send(parts...)
+	if c.asking {
+		return
+	}
+	c.stream.Skip(c.size)
+	if f.leaving && len(c.stream.Unread()) == 0 {
+		c.close()
+		return
+	}
+	f.loop.Later(c.stream.Look) // more may have come behind it
+}
+
+// CloseIdle ends the connection that has asked nothing for longest; it tells whether there was one.
+func (f *Front) CloseIdle() bool {
+	var oldest *client
+	f.clients.Each(func(_ slots.Handle, c *client) {
+		if !c.serving && !c.gone && len(c.stream.Unread()) == 0 && (oldest == nil || c.idle < oldest.idle) {
+			oldest = c
+		}
+	})
+	if oldest == nil {
+		return false
+	}
+	f.host.Count("clients_closed_idle")
+	oldest.gone = true
+	oldest.stream.Close()
+	f.clients.Drop(oldest.handle)
+	return true
+}
+
+// Leave ends connections between RPCs from now on; new ones are still served.
+func (f *Front) Leave() {
+	f.leaving = true
+	f.clients.Each(func(_ slots.Handle, c *client) {
+		if c.started && !c.serving && len(c.stream.Unread()) == 0 {
+			c.close()
+		}
+	})
+}
+
+// Shut takes no new connections; what waits to be taken in still is.
+func (f *Front) Shut() {
+	f.listener.Drain()
+	f.Leave()
+}
+
+// Open counts the clients that are connected.
+func (f *Front) Open() int { return f.clients.Count() }
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// First tells when the first value is due.
+func (q *Queue[T]) First() (at time.Duration, ok bool) {
+	if len(q.heap) == 0 {
+		return 0, false
+	}
+	return q.heap[0].at, true
+}
+
 // Pop takes the first value due at or before now.
 func (q *Queue[T]) Pop(now time.Duration) (value T, ok bool) {
 	if len(q.heap) == 0 || q.heap[0].at > now {
--- /dev/null
+++ b/internal/list/list.go
@@ -0,0 +1,211 @@
+// Package list is the side of the driver that asks discovery for the list of members.
+package list
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/httpwire"
+	"passtack/internal/loop"
+)
+
+// Host is told what the list says, as the module is.
+type Host interface {
+	ListBegins(how driver.Listing)
+	Listed(uid string, at netip.AddrPort, zone string, group driver.Group, state driver.Standing,
+		size float64, started time.Duration, primary bool)
+	ListEnds(how driver.Listing)
+	Count(what string)
+}
+
+const (
+	hold   = 5 * time.Second // of a watch; a silent discovery is noticed that much later
+	slack  = time.Second     // more than an answer may take
+	mostOf = 4 << 20         // bytes of a list
+	list   = "/discovery/hosts"
+)
+
+// Discovery is the connection to discovery.
+type Discovery struct {
+	loop     *loop.Loop
+	host     Host
+	at       netip.AddrPort
+	stream   *loop.Stream
+	rev      int64
+	asked    uint64 // number of the call that is out, 0: none
+	calls    uint64
+	watching bool // calls follow each other
+	whole    bool // the whole list is asked for next
+}
+
+// New makes a side that has asked nothing yet.
+func New(l *loop.Loop, host Host, at netip.AddrPort) *Discovery {
+	return &Discovery{loop: l, host: host, at: at}
+}
+
+// Know takes the list as this driver last had it.
+func (d *Discovery) Know(body []byte) error { return d.tell(body, true) }
+
+// Watch goes on asking for changes, or stops.
+func (d *Discovery) Watch(on bool) {
+	if d.watching = on; on {
+		d.ask()
+	}
+}
+
+// Fetch asks for the whole list once.
+func (d *Discovery) Fetch() {
+	d.whole = true
+	d.ask()
+}
+
+func (d *Discovery) ask() {
+	if d.asked != 0 || !d.watching && !d.whole {
+		return
+	}
+	path, wait := list, slack
+	if !d.whole {
+		path = fmt.Sprintf("%s?from=%d&hold_ms=%d", list, d.rev, hold/time.Millisecond)
+		wait += hold
+	}
+	if d.stream == nil {
+		var err error
+		if d.stream, err = d.loop.Dial(d.at, d, mostOf); err != nil {
+			d.loop.Later(func() { d.failed(err) })
+			return
+		}
+	}
+	d.whole = false
+	d.calls++
+	d.asked = d.calls
+	number := d.asked
+	d.stream.Send(httpwire.AppendGet(nil, d.at.String(), path))
+	d.host.Count("list_calls")
+	d.loop.At(d.loop.Now()+wait, func() {
+		if d.asked == number {
+			d.failed(errors.New("no answer in time"))
+		}
+	})
+}
+
+func (d *Discovery) Opened() {}
+
+func (d *Discovery) Input(in []byte) int {
+	if d.asked == 0 {
+		return len(in)
+	}
+	status, body, size, last, err := httpwire.Answer(in, false)
+	if err != nil || len(in) >= mostOf && size == 0 {
+		d.failed(errors.Join(httpwire.ErrAnswer, err))
+		return 0
+	}
+	if size == 0 {
+		return 0
+	}
+	d.answered(status, body, last)
+	return size
+}
+
+func (d *Discovery) answered(status int, body []byte, last bool) {
+	if status != 200 {
+		d.failed(fmt.Errorf("status %d", status))
+		return
+	}
+	if err := d.tell(body, false); err != nil {
+		d.failed(err)
+		return
+	}
+	d.asked = 0
+	if last {
+		d.drop()
+	}
+	d.ask()
+}
+
+func (d *Discovery) Closed(cause error) {
+	in := d.stream.Unread()
+	d.stream = nil
+	if d.asked == 0 {
+		return
+	}
+	if status, body, size, _, err := httpwire.Answer(in, true); err == nil && size > 0 {
+		d.answered(status, body, true)
+		return
+	}
+	d.failed(cause)
+}
+
+func (d *Discovery) drop() {
+	if d.stream != nil {
+		d.stream.Close()
+		d.stream = nil
+	}
+}
+
+// failed tells that a call brought nothing: the last list holds, and whoever wanted more asks again.
+func (d *Discovery) failed(cause error) {
+	log.Printf("event=list_failed rev=%d cause=%q", d.rev, cause)
+	d.drop()
+	d.asked, d.watching = 0, false
+	d.host.Count("list_failures")
+	d.host.ListBegins(driver.NoList)
+	d.host.ListEnds(driver.NoList)
+}
+
+var standings = map[string]driver.Standing{
+	"in_service": driver.Ready, "terminating": driver.Draining, "terminated": driver.Gone,
+}
+
+// tell checks a whole body before it passes anything on.
+func (d *Discovery) tell(body []byte, known bool) error {
+	var told struct {
+		Rev     *int64
+		All     bool
+		Targets []struct {
+			UID      string
+			Endpoint string
+			Zone     string       `json:"az"`
+			Group    driver.Group `json:"pod_group"`
+			State    string
+			Size     float64 `json:"capacity_hint"`
+			Started  int64   `json:"boot_ms"`
+			Role     string
+		}
+	}
+	if err := json.Unmarshal(body, &told); err != nil {
+		return fmt.Errorf("broken list: %w", err)
+	}
+	if told.Rev == nil {
+		return errors.New("broken list: it has no version")
+	}
+	places := make([]netip.AddrPort, len(told.Targets))
+	for i, t := range told.Targets {
+		var err error
+		places[i], err = netip.ParseAddrPort(t.Endpoint)
+		if _, ok := standings[t.State]; !ok || t.UID == "" || err != nil && t.State != "terminated" {
+			return fmt.Errorf("broken list: entry %d, uid %q, state %q, endpoint %q", i, t.UID, t.State, t.Endpoint)
+		}
+	}
+	how := driver.Changes
+	if known {
+		how = driver.Cached
+	} else if told.All {
+		how = driver.Whole
+	}
+	d.rev = *told.Rev
+	d.host.ListBegins(how)
+	for i, t := range told.Targets {
+		started := driver.LongAgo
+		if t.Started > 0 {
+			started = time.Duration(t.Started) * time.Millisecond
+		}
+		d.host.Listed(t.UID, places[i], t.Zone, t.Group, standings[t.State], t.Size, started, t.Role == "leader")
+	}
+	d.host.ListEnds(how)
+	return nil
+}
--- /dev/null
+++ b/internal/loop/stream.go
@@ -0,0 +1,430 @@
+package loop
+
+import (
+	"errors"
+	"io"
+	"net/netip"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"passtack/internal/slots"
+)
+
+// Owner is told what happens on its stream.
+type Owner interface {
+	Opened()             // a connect has succeeded
+	Input(in []byte) int // all that has not been taken; it tells how many bytes it is done with
+	Closed(cause error)  // by the other side or by an error; the stream is gone already
+}
+
+// ErrNoRoom tells that all descriptors are in use.
+var ErrNoRoom = errors.New("no descriptor is free")
+
+const common = 8 << 10 // bytes of a read buffer
+
+// Stream is one TCP connection.
+type Stream struct {
+	loop    *Loop
+	fd      int
+	handle  slots.Handle
+	owner   Owner
+	opening bool
+	full    bool // reading rests, since the buffer is full
+	last    bool // closes once all is written
+	closed  bool
+	busy    bool   // its owner is looking at the input
+	buffer  []byte // read and not taken, from taken on
+	taken   int
+	most    int // bytes that buffer may hold
+	out     []byte
+	written int // bytes of out that are gone
+}
+
+func (l *Loop) stream(fd int, owner Owner, most int, opening bool) (*Stream, error) {
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	s := &Stream{loop: l, fd: fd, owner: owner, most: most, opening: opening}
+	var err error
+	if s.handle, err = l.add(fd, s, s.interest()); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return s, nil
+}
+
+// Dial begins a connect; the owner is told how it ends. No more than most bytes of input are held.
+func (l *Loop) Dial(to netip.AddrPort, owner Owner, most int) (*Stream, error) {
+	if !l.room() {
+		return nil, ErrNoRoom
+	}
+	address, family := sockaddr(to)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Connect(fd, address); err != nil && err != unix.EINPROGRESS {
+		unix.Close(fd)
+		return nil, err
+	}
+	return l.stream(fd, owner, most, true)
+}
+
+func sockaddr(a netip.AddrPort) (unix.Sockaddr, int) {
+	if a.Addr().Is4() {
+		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}, unix.AF_INET
+	}
+	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}, unix.AF_INET6
+}
+
+func (s *Stream) interest() uint32 {
+	events := uint32(unix.EPOLLRDHUP)
+	if !s.full && !s.opening {
+		events |= unix.EPOLLIN
+	}
+	if s.opening || s.Unsent() > 0 {
+		events |= unix.EPOLLOUT
+	}
+	return events
+}
+
+func (s *Stream) update() {
+	if !s.closed {
+		s.loop.change(s.fd, s.handle, s.interest())
+	}
+}
+
+func (s *Stream) ready(events uint32) {
+	if s.opening {
+		s.opened()
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		s.flush()
+	}
+	if s.closed {
+		return
+	}
+	if events&unix.EPOLLIN != 0 && !s.full {
+		s.read()
+	} else if events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		s.fail(io.EOF)
+	}
+}
+
+func (s *Stream) broken(cause error) { s.fail(cause) }
+
+func (s *Stream) opened() {
+	code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err == nil && code != 0 {
+		err = unix.Errno(code)
+	}
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	s.opening = false
+	s.update()
+	s.owner.Opened()
+}
+
+func (s *Stream) read() {
+	s.space()
+	n, err := unix.Read(s.fd, s.buffer[len(s.buffer):cap(s.buffer)])
+	switch {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return
+	case err != nil:
+		s.fail(err)
+		return
+	case n == 0:
+		s.fail(io.EOF)
+		return
+	}
+	s.buffer = s.buffer[:len(s.buffer)+n]
+	s.Look()
+}
+
+// space leaves some room behind what was read.
+func (s *Stream) space() {
+	if s.buffer == nil {
+		if n := len(s.loop.spare); n > 0 {
+			s.buffer, s.loop.spare = s.loop.spare[n-1], s.loop.spare[:n-1]
+		} else {
+			s.buffer = make([]byte, 0, common)
+		}
+	}
+	if len(s.buffer) < cap(s.buffer) {
+		return
+	}
+	if s.taken > 0 {
+		s.buffer, s.taken = s.buffer[:copy(s.buffer, s.buffer[s.taken:])], 0
+		return
+	}
+	larger := make([]byte, len(s.buffer), min(2*cap(s.buffer), s.most))
+	copy(larger, s.buffer)
+	s.buffer = larger
+}
+
+// Look shows the owner what has not been taken.
+func (s *Stream) Look() {
+	if s.busy || s.closed {
+		return
+	}
+	s.busy = true
+	for !s.closed && s.taken < len(s.buffer) {
+		used := s.owner.Input(s.buffer[s.taken:])
+		if s.closed || used == 0 {
+			break
+		}
+		s.taken += used
+	}
+	s.busy = false
+	if s.closed {
+		return
+	}
+	if s.taken == len(s.buffer) {
+		s.release()
+	}
+	if full := len(s.buffer)-s.taken >= s.most; full != s.full {
+		s.full = full
+		s.update()
+	}
+}
+
+// Unread is what has been read and not taken.
+func (s *Stream) Unread() []byte { return s.buffer[s.taken:] }
+
+// Skip takes input that the owner had left; Look then shows it the rest.
+func (s *Stream) Skip(n int) { s.taken += n }
+
+func (s *Stream) release() {
+	if cap(s.buffer) == common {
+		s.loop.spare = append(s.loop.spare, s.buffer[:0])
+	}
+	s.buffer, s.taken = nil, 0
+}
+
+// Send writes the parts at once as far as the other side takes them, and the rest when it does.
+func (s *Stream) Send(parts ...[]byte) {
+	if s.closed {
+		return
+	}
+	sent := 0
+	var err error
+	if !s.opening && s.Unsent() == 0 {
+		if sent, err = unix.Writev(s.fd, parts); err != nil {
+			sent = 0
+		}
+	}
+	for _, part := range parts {
+		gone := min(sent, len(part))
+		sent -= gone
+		s.out = append(s.out, part[gone:]...)
+	}
+	if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+		s.loop.Later(func() { s.fail(err) })
+	} else if s.Unsent() > 0 {
+		s.update()
+	}
+}
+
+// Unsent counts the bytes that the other side has not taken yet.
+func (s *Stream) Unsent() int { return len(s.out) - s.written }
+
+func (s *Stream) flush() {
+	n, err := unix.Write(s.fd, s.out[s.written:])
+	if err == unix.EAGAIN || err == unix.EINTR {
+		return
+	} else if err != nil {
+		s.fail(err)
+		return
+	}
+	if s.written += n; s.Unsent() > 0 {
+		return
+	}
+	s.written = 0
+	if s.out = s.out[:0]; cap(s.out) > common {
+		s.out = nil
+	}
+	if s.last {
+		s.Close()
+		s.owner.Closed(nil)
+		return
+	}
+	s.update()
+}
+
+// Alive looks whether the other side has closed the stream or said something that was not read yet.
+func (s *Stream) Alive() bool {
+	var one [1]byte
+	_, _, err := unix.Recvfrom(s.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return !s.closed && err == unix.EAGAIN
+}
+
+// CloseWhenSent ends the stream once all is written; the owner is then told, with no cause.
+func (s *Stream) CloseWhenSent() {
+	if s.closed {
+		return
+	}
+	if s.last = true; s.Unsent() == 0 {
+		s.Close()
+		s.loop.Later(func() { s.owner.Closed(nil) })
+	}
+}
+
+// Close ends the stream at once; the owner is not told.
+func (s *Stream) Close() {
+	if s.closed {
+		return
+	}
+	s.closed = true
+	s.release()
+	s.loop.drop(s.fd, s.handle)
+}
+
+func (s *Stream) fail(cause error) {
+	if s.closed {
+		return
+	}
+	s.Close()
+	s.owner.Closed(cause)
+}
+
+// Listener hands over each connection that comes in.
+type Listener struct {
+	loop   *Loop
+	fd     int
+	handle slots.Handle
+	most   int
+	accept func(open func(Owner) *Stream)
+	paused bool
+}
+
+// Listen waits for connections at the address. Accept is called for each and names its owner.
+func (l *Loop) Listen(at netip.AddrPort, most int, accept func(open func(Owner) *Stream)) (*Listener, error) {
+	address, family := sockaddr(at)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err = unix.Bind(fd, address); err == nil {
+		err = unix.Listen(fd, 1024)
+	}
+	n := &Listener{loop: l, fd: fd, most: most, accept: accept}
+	if err == nil {
+		n.handle, err = l.add(fd, n, unix.EPOLLIN)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return n, nil
+}
+
+// acceptsATurn bounds how long newcomers keep the others waiting.
+const acceptsATurn = 64
+
+func (n *Listener) ready(uint32) {
+	for range acceptsATurn {
+		if !n.loop.room() {
+			n.pause()
+			return
+		}
+		fd, _, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == unix.ECONNABORTED || err == unix.EINTR {
+			continue
+		} else if err == unix.EAGAIN {
+			return
+		} else if err != nil {
+			n.pause()
+			return
+		}
+		n.accept(func(owner Owner) *Stream {
+			s, err := n.loop.stream(fd, owner, n.most, false)
+			if err != nil {
+				return nil
+			}
+			return s
+		})
+	}
+}
+
+func (n *Listener) broken(error) {}
+
+// pause lets newcomers wait until a descriptor is free, or a moment where the system is short of them.
+func (n *Listener) pause() {
+	if n.paused {
+		return
+	}
+	n.paused = true
+	n.loop.change(n.fd, n.handle, 0)
+	resume := func() {
+		if n.paused && n.loop.sources.Get(n.handle) == source(n) {
+			n.paused = false
+			n.loop.change(n.fd, n.handle, unix.EPOLLIN)
+		}
+	}
+	n.loop.freed = append(n.loop.freed, resume)
+	n.loop.At(n.loop.now+100*time.Millisecond, resume)
+}
+
+// Drain takes the connections that wait and no more after them.
+func (n *Listener) Drain() {
+	n.ready(0)
+	n.loop.drop(n.fd, n.handle)
+}
+
+// Datagrams is a UDP socket.
+type Datagrams struct {
+	loop   *Loop
+	fd     int
+	handle slots.Handle
+	take   func(from netip.AddrPort, text []byte)
+	buffer [512]byte
+}
+
+// Receive waits for datagrams at the address.
+func (l *Loop) Receive(at netip.AddrPort, take func(from netip.AddrPort, text []byte)) (*Datagrams, error) {
+	address, family := sockaddr(at)
+	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	d := &Datagrams{loop: l, fd: fd, take: take}
+	if err = unix.Bind(fd, address); err == nil {
+		d.handle, err = l.add(fd, d, unix.EPOLLIN)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	return d, nil
+}
+
+const datagramsATurn = 64
+
+func (d *Datagrams) ready(uint32) {
+	for range datagramsATurn {
+		n, from, err := unix.Recvfrom(d.fd, d.buffer[:], 0)
+		if err != nil {
+			return
+		}
+		var sender netip.AddrPort
+		switch a := from.(type) {
+		case *unix.SockaddrInet4:
+			sender = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+		case *unix.SockaddrInet6:
+			sender = netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
+		}
+		d.take(sender, d.buffer[:n])
+	}
+}
+
+func (d *Datagrams) broken(error) {}
+
+// Send may lose the text.
+func (d *Datagrams) Send(to netip.AddrPort, text []byte) {
+	address, _ := sockaddr(to)
+	unix.Sendto(d.fd, text, unix.MSG_DONTWAIT, address)
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,506 @@
+// Package members is the side of the driver that speaks with the members: connections, of which each
+// carries one call-out at a time, and what comes back on them.
+package members
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/loop"
+	"passtack/internal/pgwire"
+	"passtack/internal/slots"
+)
+
+// Host is told how call-outs and probes end. The rows of an answer are good during the call only.
+type Host interface {
+	CallOutEnded(rpc driver.RPC, n int, from driver.Member, how driver.Outcome, took time.Duration,
+		pos time.Duration, role driver.Role, report []float64, rows [][]byte)
+	Probed(m driver.Member, ok bool, took time.Duration, report []float64)
+	Count(what string)
+}
+
+// Reach is how far a call-out had come.
+type Reach uint8
+
+const (
+	NotConnected Reach = iota
+	PartlyWritten
+	WhollyWritten
+	AnswerBegun
+)
+
+// Failure tells how a call-out ended without an answer of the member's, and how far it had come. That alone
+// picks the outcome.
+type Failure struct {
+	Reached  Reach
+	TimedOut bool
+	Cause    error
+}
+
+func (f Failure) Error() string {
+	return fmt.Sprintf("reach=%d timed_out=%t: %v", f.Reached, f.TimedOut, f.Cause)
+}
+
+// Outcome is what the bytes that went and came prove.
+func (f Failure) Outcome() driver.Outcome {
+	switch {
+	case f.Reached < WhollyWritten:
+		return driver.NoConnection
+	case f.TimedOut:
+		return driver.TimedOut
+	}
+	return driver.Broken
+}
+
+var (
+	errSlow    = errors.New("no answer in time")
+	errConnect = errors.New("the connection did not come up in time")
+	errGarbage = errors.New("an answer that cannot be read")
+)
+
+// Pool holds the connections to all members.
+type Pool struct {
+	loop      *loop.Loop
+	host      Host
+	members   map[driver.Member]*member
+	conns     slots.Table[*conn]
+	calls     slots.Table[*call]
+	connectIn time.Duration
+	idleFor   time.Duration // a member closes what was idle for so long
+	word      func(string) string
+	columns   []string
+	primary   string
+	report    []float64
+	rows      [][]byte
+}
+
+type member struct {
+	id   driver.Member
+	at   netip.AddrPort
+	idle []*conn // newest last
+}
+
+// call is a call-out, or a probe where it has no statement.
+type call struct {
+	handle slots.Handle
+	rpc    driver.RPC
+	n      int
+	probe  bool
+	to     driver.Member
+	sent   time.Duration
+	until  time.Duration
+	conn   *conn
+	text   []byte // waits for the connection
+}
+
+type conn struct {
+	pool          *Pool
+	handle        slots.Handle
+	member        *member
+	stream        *loop.Stream
+	ready         bool // the member has let us in
+	call          *call
+	written       bool // the call-out was handed to the stream
+	since         time.Duration
+	begun, failed bool
+	code          string // of the error that came
+}
+
+// New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor; word
+// translates the names of a load report, whose columns are given.
+func New(l *loop.Loop, host Host, connectIn, idleFor time.Duration, columns []string, word func(string) string) *Pool {
+	p := &Pool{loop: l, host: host, members: make(map[driver.Member]*member), connectIn: connectIn, columns: columns, word: word}
+	p.idleFor = idleFor - idleFor/8
+	return p
+}
+
+// Place tells where a member listens. Connections to an earlier address are not used again.
+func (p *Pool) Place(id driver.Member, at netip.AddrPort) {
+	m := p.members[id]
+	if m == nil {
+		p.members[id] = &member{id: id, at: at}
+	} else if m.at != at {
+		p.CloseIdle(id)
+		m.at = at
+	}
+}
+
+// CallOut sends the statement, whose time stands between its two parts. It ends with exactly one outcome,
+// never at once.
+func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, until time.Duration, before, after []byte) slots.Handle {
+	now := p.loop.Now()
+	m := p.members[to]
+	c := &call{rpc: rpc, n: n, to: to, sent: now, until: until}
+	c.handle = p.calls.Put(c)
+	if c.handle == 0 || m == nil || until <= now {
+		p.loop.Later(func() { p.end(c, driver.Moot, 0, driver.Unknown, nil, nil) })
+		return c.handle
+	}
+	p.loop.At(until, func() { p.expire(c.handle) })
+	if k := p.newest(m); k != nil {
+		k.call, c.conn = c, k
+		k.write(before, after)
+		return c.handle
+	}
+	c.text = append(append(append(c.text, before...), 0), after...)
+	p.connect(c, m)
+	return c.handle
+}
+
+// Probe asks the member nothing, to see how it is.
+func (p *Pool) Probe(to driver.Member) {
+	m, now := p.members[to], p.loop.Now()
+	if m == nil {
+		return
+	}
+	c := &call{probe: true, to: to, sent: now, until: now + p.connectIn}
+	c.handle = p.calls.Put(c)
+	if c.handle == 0 {
+		p.loop.Later(func() { p.end(c, driver.Moot, 0, driver.Unknown, nil, nil) })
+		return
+	}
+	p.loop.At(c.until, func() { p.expire(c.handle) })
+	if k := p.newest(m); k != nil {
+		k.call, c.conn = c, k
+		k.ask()
+		return
+	}
+	p.connect(c, m)
+}
+
+// newest takes the connection out that was idle for the shortest time, unless the member may have closed it.
+func (p *Pool) newest(m *member) *conn {
+	for len(m.idle) > 0 {
+		k := m.idle[len(m.idle)-1]
+		m.idle = m.idle[:len(m.idle)-1]
+		if p.loop.Now()-k.since < p.idleFor && k.stream.Alive() {
+			return k
+		}
+		k.drop()
+	}
+	return nil
+}
+
+func (p *Pool) connect(c *call, m *member) {
+	k := &conn{pool: p, member: m, call: c, since: p.loop.Now()}
+	stream, err := p.loop.Dial(m.at, k, pgwire.Most+1)
+	if err == nil {
+		k.stream = stream
+		if k.handle = p.conns.Put(k); k.handle == 0 {
+			stream.Close()
+			err = loop.ErrNoRoom
+		}
+	}
+	if err != nil {
+		p.host.Count("connects_failed")
+		p.loop.Later(func() { p.fail(c, Failure{NotConnected, false, err}) })
+		return
+	}
+	c.conn = k
+	p.host.Count("connects")
+	k.stream.Send(pgwire.AppendFirst(nil, "app", "shop"))
+	p.loop.At(p.loop.Now()+p.connectIn, func() {
+		if p.conns.Get(k.handle) == k && !k.ready {
+			k.broken(errConnect)
+		}
+	})
+}
+
+func (k *conn) Opened() {}
+
+// broken ends the connection, and with it the call-out that it carries.
+func (k *conn) broken(cause error) {
+	k.drop()
+	k.Closed(cause)
+}
+
+func (k *conn) drop() {
+	k.stream.Close()
+	k.pool.conns.Drop(k.handle)
+	k.member.idle = slices.DeleteFunc(k.member.idle, func(o *conn) bool { return o == k })
+}
+
+func (k *conn) Closed(cause error) {
+	k.pool.conns.Drop(k.handle)
+	k.member.idle = slices.DeleteFunc(k.member.idle, func(o *conn) bool { return o == k })
+	c := k.call
+	if c == nil {
+		return
+	}
+	k.call = nil
+	if how := outcomeOf(k.code); k.code != "" && (k.ready || how == driver.Full) {
+		k.pool.end(c, how, 0, driver.Unknown, nil, nil)
+		return
+	}
+	k.pool.fail(c, Failure{k.reached(), false, cause})
+}
+
+func (k *conn) reached() Reach {
+	switch {
+	case !k.ready:
+		return NotConnected
+	case !k.written || k.stream.Unsent() > 0:
+		return PartlyWritten
+	case k.begun:
+		return AnswerBegun
+	}
+	return WhollyWritten
+}
+
+// write sends the call-out, with the time that is left for it.
+func (k *conn) write(before, after []byte) {
+	left := max(1, int64((k.call.until-k.pool.loop.Now())/time.Millisecond))
+	var room [32]byte
+	budget := strconv.AppendInt(room[8:8], left, 10)
+	head := pgwire.AppendHead(room[:0], 'Q', len(before)+len(budget)+len(after)+1)
+	k.begun, k.failed, k.code, k.written = false, false, "", true
+	k.stream.Send(head, before, budget, after, []byte{0})
+}
+
+// ask sends the empty query.
+func (k *conn) ask() {
+	k.begun, k.failed, k.code, k.written = false, false, "", true
+	k.stream.Send(append(pgwire.AppendHead(nil, 'Q', 1), 0))
+}
+
+func (k *conn) start() {
+	c := k.call
+	switch {
+	case c == nil:
+		k.rest()
+	case c.probe:
+		k.ask()
+	default:
+		before, after, _ := bytes.Cut(c.text, []byte{0})
+		k.write(before, after)
+		c.text = nil
+	}
+}
+
+// rest keeps the connection for the next call-out.
+func (k *conn) rest() {
+	k.since = k.pool.loop.Now()
+	k.member.idle = append(k.member.idle, k)
+	k.pool.loop.At(k.since+k.pool.idleFor, func() {
+		if k.pool.conns.Get(k.handle) == k && k.call == nil && k.pool.loop.Now()-k.since >= k.pool.idleFor {
+			k.drop()
+		}
+	})
+}
+
+// Input reads what has come so far; nothing is taken before the answer is whole.
+func (k *conn) Input(in []byte) int {
+	p := k.pool
+	p.rows, p.report = p.rows[:0], p.report[:0]
+	rows, done, whole := 0, false, false
+	pos, role := time.Duration(0), driver.Unknown
+	at := 0
+	for {
+		kind, body, size, err := pgwire.Next(in[at:])
+		if err != nil {
+			k.broken(errGarbage)
+			return 0
+		}
+		if size == 0 {
+			k.begun = k.begun || kind != 0 && kind != 'S' && kind != 'N'
+			return 0
+		}
+		switch kind {
+		case 'R', 'K', 'N', 'I':
+		case 'S':
+			pos, role = k.parameter(body, pos, role)
+		case 'T', 'D', 'C':
+			k.begun = true
+			if p.rows = append(p.rows, in[at:at+size]); kind == 'D' {
+				rows++
+			} else if kind == 'T' && (pgwire.Columns(body) != 1 || rows > 0) {
+				k.broken(errGarbage)
+				return 0
+			}
+			done = done || kind == 'C'
+		case 'E':
+			k.begun = true
+			pgwire.Fields(body, func(field byte, value []byte) {
+				if field == 'C' {
+					k.code = string(value)
+				}
+			})
+			if k.code == "" {
+				k.code = "XX000"
+			}
+			if !k.ready {
+				k.broken(errGarbage)
+				return 0
+			}
+		case 'Z':
+			whole = true
+		default:
+			k.broken(errGarbage)
+			return 0
+		}
+		if at += size; whole {
+			break
+		}
+	}
+	if !k.ready {
+		k.ready = true
+		k.start()
+		return at
+	}
+	c := k.call
+	if c == nil || !k.written {
+		k.broken(errGarbage)
+		return 0
+	}
+	how := driver.OK
+	if k.code != "" {
+		how = outcomeOf(k.code)
+	} else if !c.probe && (!done || rows != 1) {
+		how = driver.Failed
+	}
+	k.call, k.written, k.code = nil, false, ""
+	if at == len(in) {
+		k.rest()
+	}
+	p.end(c, how, pos, role, p.report, p.rows)
+	if at < len(in) { // it says more than it was asked
+		k.drop()
+	}
+	return at
+}
+
+func (k *conn) parameter(body []byte, pos time.Duration, role driver.Role) (time.Duration, driver.Role) {
+	name, value, _ := pgwire.Parameter(body)
+	switch string(name) {
+	case "replay_position":
+		if millis, err := strconv.ParseInt(string(value), 10, 64); err == nil {
+			pos = time.Duration(millis) * time.Millisecond
+		}
+	case "node_role":
+		switch string(value) {
+		case "leader":
+			role = driver.Primary
+		case "follower":
+			role = driver.Replica
+		}
+	case "server_load":
+		k.pool.load(string(value))
+	}
+	return pos, role
+}
+
+// load puts the fields of a load report into the order of the columns.
+func (p *Pool) load(text string) {
+	p.report = append(p.report[:0], make([]float64, len(p.columns))...)
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(field, "=")
+		if i := slices.Index(p.columns, p.word(name)); i >= 0 {
+			p.report[i], _ = strconv.ParseFloat(value, 64)
+		}
+	}
+}
+
+// outcomeOf reads the code of a member's error.
+func outcomeOf(code string) driver.Outcome {
+	switch code {
+	case "25006", "72000":
+		return driver.Miss
+	case "53300":
+		return driver.Full
+	}
+	return driver.Failed
+}
+
+// Cancel calls a call-out off.
+func (p *Pool) Cancel(h slots.Handle) {
+	if c := p.calls.Get(h); c != nil {
+		p.loop.Later(func() {
+			if p.calls.Get(h) == c {
+				p.letGo(c)
+				p.end(c, driver.Cancelled, 0, driver.Unknown, nil, nil)
+			}
+		})
+	}
+}
+
+func (p *Pool) expire(h slots.Handle) {
+	c := p.calls.Get(h)
+	if c == nil {
+		return
+	}
+	reached, code := NotConnected, ""
+	if c.conn != nil {
+		reached, code = c.conn.reached(), c.conn.code
+	}
+	p.letGo(c)
+	if code != "" {
+		p.end(c, outcomeOf(code), 0, driver.Unknown, nil, nil)
+		return
+	}
+	p.fail(c, Failure{reached, true, errSlow})
+}
+
+// letGo parts a call-out from its connection, which ends unless it has yet to come up.
+func (p *Pool) letGo(c *call) {
+	k := c.conn
+	if k == nil || k.call != c {
+		return
+	}
+	if k.call = nil; k.ready {
+		k.drop()
+	}
+}
+
+func (p *Pool) fail(c *call, why Failure) {
+	p.end(c, why.Outcome(), 0, driver.Unknown, nil, nil)
+}
+
+func (p *Pool) end(c *call, how driver.Outcome, pos time.Duration, role driver.Role, report []float64, rows [][]byte) {
+	if c.handle != 0 && p.calls.Get(c.handle) != c {
+		return
+	}
+	p.calls.Drop(c.handle)
+	took := p.loop.Now() - c.sent
+	if c.probe {
+		p.host.Probed(c.to, how == driver.OK, took, report)
+		return
+	}
+	p.host.CallOutEnded(c.rpc, c.n, c.to, how, took, pos, role, report, rows)
+}
+
+// CloseIdle ends the idle connections to a member.
+func (p *Pool) CloseIdle(id driver.Member) {
+	if m := p.members[id]; m != nil {
+		for len(m.idle) > 0 {
+			m.idle[0].drop()
+		}
+	}
+}
+
+// CloseOldest ends the connection that was idle for longest; it tells whether there was one.
+func (p *Pool) CloseOldest() bool {
+	var oldest *conn
+	for _, m := range p.members {
+		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since ||
+			m.idle[0].since == oldest.since && m.id < oldest.member.id) {
+			oldest = m.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.host.Count("members_closed_idle")
+	oldest.drop()
+	return true
+}
+
+// Open counts the connections, Out the call-outs that have no outcome yet.
+func (p *Pool) Open() int { return p.conns.Count() }
+func (p *Pool) Out() int  { return p.calls.Count() }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,331 @@
+// Package node hosts the decision module: it ties it to clients, members, the list and other drivers, keeps
+// the RPCs that are being served, counts, and stops in an orderly way. It decides nothing.
+package node
+
+import (
+	"errors"
+	"fmt"
+	"log"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/clients"
+	"passtack/internal/list"
+	"passtack/internal/loop"
+	"passtack/internal/members"
+	"passtack/internal/peers"
+	"passtack/internal/slots"
+	"passtack/internal/terms"
+	"passtack/rules"
+)
+
+// rpc is kept until it is answered and all its call-outs have ended.
+type rpc struct {
+	client   slots.Handle
+	until    time.Duration
+	calls    []slots.Handle
+	out      int
+	answered bool
+}
+
+// Node is one driver.
+type Node struct {
+	site    *Site
+	loop    *loop.Loop
+	module  *rules.Router
+	front   *clients.Front
+	pool    *members.Pool
+	list    *list.Discovery
+	peers   *peers.Peers
+	rpcs    slots.Table[*rpc]
+	uids    map[string]driver.Member
+	zones   []string
+	counts  map[string]int
+	most    int // call-outs of one RPC
+	fault   error
+	leaving bool
+}
+
+// New opens all sockets; Run serves.
+func New(site *Site) (*Node, error) {
+	l, err := loop.New(site.Descriptors)
+	if err != nil {
+		return nil, err
+	}
+	t := terms.New(site.Terms)
+	n := &Node{
+		site: site, loop: l, uids: make(map[string]driver.Member), counts: make(map[string]int),
+		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
+	}
+	l.MakeRoom = func() bool { return n.pool.CloseOldest() || n.front.CloseIdle() }
+	n.pool = members.New(l, n, site.span("caps.connect_timeout", 250*time.Millisecond),
+		site.span("caps.idle_close", time.Hour), site.columns(), terms.Word)
+	n.list = list.New(l, n, site.Discovery)
+	if site.PeerListen.IsValid() {
+		n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, func(from driver.Peer, text []byte) {
+			n.Count("peer_texts_taken")
+			n.module.Told(from, text)
+		})
+		if err != nil {
+			return nil, fmt.Errorf("peer_listen %s: %w", site.PeerListen, err)
+		}
+	}
+	n.module = rules.New(n, site.Seed, site.Terms)
+	if n.fault != nil {
+		return nil, n.fault
+	}
+	if len(site.Known) > 0 {
+		if err := n.list.Know(site.Known); err != nil {
+			log.Printf("event=known_list_unusable cause=%q", err)
+		}
+	}
+	names, sessions := site.methods()
+	if n.front, err = clients.Listen(l, n, site.Listen, names, sessions); err != nil {
+		return nil, fmt.Errorf("listen %s: %w", site.Listen, err)
+	}
+	if site.Terms["list"] == "pushed" {
+		n.list.Watch(true)
+	}
+	return n, nil
+}
+
+// What a planned stop looks like to clients: for a moment connections still come, and what came is answered.
+const (
+	newcomers = 500 * time.Millisecond
+	drained   = 20 * time.Millisecond // between looks whether all is answered
+)
+
+// Run serves until it is told to stop and has answered all that it took.
+func (n *Node) Run() error {
+	if n.site.Memory > 0 {
+		debug.SetMemoryLimit(n.site.Memory * 3 / 4)
+	}
+	signals := make(chan os.Signal, 8)
+	heard := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			heard <- s
+			n.loop.Ring()
+		}
+	}()
+	log.Printf("event=started name=%s listen=%s discovery=%s", n.site.Name, n.site.Listen, n.site.Discovery)
+	err := n.loop.Run(func() {
+		for {
+			select {
+			case s := <-heard:
+				if s == syscall.SIGUSR1 {
+					n.print()
+				} else {
+					n.leave()
+				}
+			default:
+				return
+			}
+		}
+	})
+	n.print()
+	log.Printf("event=stopped name=%s", n.site.Name)
+	return errors.Join(err, n.fault)
+}
+
+func (n *Node) leave() {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	log.Printf("event=leaving rpcs=%d clients=%d", n.rpcs.Count(), n.front.Open())
+	n.front.Leave()
+	n.loop.At(n.loop.Now()+newcomers, func() {
+		n.front.Shut()
+		n.stopWhenDone()
+	})
+}
+
+func (n *Node) stopWhenDone() {
+	if n.front.Open() == 0 {
+		n.loop.Stop()
+		return
+	}
+	n.loop.At(n.loop.Now()+drained, n.stopWhenDone)
+}
+
+// Count adds one to a counter.
+func (n *Node) Count(what string) { n.counts[what]++ }
+
+func (n *Node) print() {
+	var line strings.Builder
+	names := make([]string, 0, len(n.counts))
+	for name := range n.counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Fprintf(&line, " %s=%d", name, n.counts[name])
+	}
+	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d%s",
+		n.rpcs.Count(), n.front.Open(), n.pool.Open(), n.loop.Open(), line.String())
+}
+
+// Take hands an RPC to the module.
+func (n *Node) Take(from slots.Handle, method driver.Method, group driver.Group, session driver.Session,
+	until, wrote time.Duration, repeat bool) driver.RPC {
+	n.Count("rpcs_taken")
+	q := &rpc{client: from, until: until}
+	h := n.rpcs.Put(q)
+	if h == 0 {
+		n.Count("rpcs_no_room")
+		n.front.PushBack(from, 0)
+		return 0
+	}
+	n.module.Take(driver.RPC(h), method, group, 0, session, until, wrote, repeat)
+	return driver.RPC(h)
+}
+
+func (n *Node) get(id driver.RPC) *rpc { return n.rpcs.Get(slots.Handle(id)) }
+
+// answered marks the one final answer; it tells whether the client still waits for it.
+func (n *Node) answered(id driver.RPC, how string) (client slots.Handle, waits bool) {
+	q := n.get(id)
+	if q == nil || q.answered {
+		return 0, false
+	}
+	q.answered = true
+	n.Count("rpcs_" + how)
+	n.drop(id, q)
+	return q.client, true
+}
+
+func (n *Node) drop(id driver.RPC, q *rpc) {
+	if q.answered && q.out == 0 {
+		n.rpcs.Drop(slots.Handle(id))
+	}
+}
+
+// ClientLeft tells the module that nobody waits for the answer any more.
+func (n *Node) ClientLeft(id driver.RPC) {
+	if _, waits := n.answered(id, "left"); waits {
+		n.module.ClientLeft(id)
+	}
+}
+
+var outcomes = map[driver.Outcome]string{
+	driver.OK: "ok", driver.Failed: "failed", driver.Full: "full", driver.TimedOut: "timed_out",
+	driver.NoConnection: "no_connection", driver.Broken: "broken", driver.Cancelled: "cancelled",
+	driver.Moot: "moot", driver.Miss: "miss",
+}
+
+// CallOutEnded passes an answer on, unless the RPC has got one, and tells the module in any case.
+func (n *Node) CallOutEnded(id driver.RPC, call int, from driver.Member, how driver.Outcome, took time.Duration,
+	pos time.Duration, role driver.Role, report []float64, rows [][]byte) {
+	n.Count("callouts_" + outcomes[how])
+	q := n.get(id)
+	if q == nil {
+		return
+	}
+	if how == driver.OK {
+		if client, waits := n.answered(id, "ok"); waits {
+			n.front.Answer(client, rows...)
+		}
+	}
+	q.out--
+	n.module.Ended(id, call, from, how, took, q.answered, pos, role, report)
+	n.drop(id, q)
+}
+
+// Probed brings the result of a probe.
+func (n *Node) Probed(m driver.Member, ok bool, took time.Duration, report []float64) {
+	n.module.Probed(m, ok, took, report)
+}
+
+func (n *Node) ListBegins(how driver.Listing) { n.module.ListBegins(how) }
+
+// Listed gives a member one number for as long as this driver lives, whatever its address.
+func (n *Node) Listed(uid string, at netip.AddrPort, zone string, group driver.Group, state driver.Standing,
+	size float64, started time.Duration, primary bool) {
+	m, known := n.uids[uid]
+	if !known {
+		m = driver.Member(len(n.uids) + 1)
+		n.uids[uid] = m
+		log.Printf("event=member_listed member=%012x uid=%s endpoint=%s group=%d", uint64(m), uid, at, group)
+	}
+	if at.IsValid() {
+		n.pool.Place(m, at)
+	}
+	n.module.Listed(m, driver.Zone(max(0, slices.Index(n.zones, zone))), group, state, size, started, primary)
+}
+
+func (n *Node) ListEnds(how driver.Listing) {
+	n.module.ListEnds(how)
+}
+
+// What follows is what the module acts through.
+
+func (n *Node) Now() time.Duration { return n.loop.Now() }
+
+func (n *Node) CallOut(id driver.RPC, to driver.Member, timeout time.Duration) {
+	q := n.get(id)
+	if q == nil {
+		return
+	}
+	until := q.until
+	if timeout != 0 {
+		until = min(until, n.loop.Now()+timeout)
+	}
+	before, after := n.front.Statement(q.client)
+	if q.answered || len(q.calls) >= n.most || before == nil {
+		until = 0
+	}
+	n.Count("callouts_sent")
+	q.out++
+	q.calls = append(q.calls, n.pool.CallOut(id, len(q.calls), to, until, before, after))
+}
+
+func (n *Node) Cancel(id driver.RPC, call int) {
+	if q := n.get(id); q != nil && call < len(q.calls) {
+		n.pool.Cancel(q.calls[call])
+	}
+}
+
+func (n *Node) PushBack(id driver.RPC, comeBack time.Duration) {
+	if client, waits := n.answered(id, "pushed_back"); waits {
+		n.front.PushBack(client, comeBack)
+	}
+}
+
+func (n *Node) Abort(id driver.RPC) {
+	if client, waits := n.answered(id, "aborted"); waits {
+		n.front.Abort(client)
+	}
+}
+
+func (n *Node) Probe(m driver.Member)     { n.pool.Probe(m) }
+func (n *Node) CloseIdle(m driver.Member) { n.pool.CloseIdle(m) }
+func (n *Node) Watch(on bool)             { n.list.Watch(on) }
+func (n *Node) FetchList()                { n.list.Fetch() }
+
+func (n *Node) Tell(to driver.Peer, text []byte) {
+	if n.peers != nil {
+		n.Count("peer_texts_sent")
+		n.peers.Tell(to, text)
+	}
+}
+
+func (n *Node) WakeAfter(wait time.Duration) {
+	n.loop.At(n.loop.Now()+wait, func() { n.module.Wake() })
+}
+
+func (n *Node) Log(line string) { log.Printf("event=module text=%q", line) }
+
+func (n *Node) Fault(why string) {
+	n.fault = errors.New(why)
+	log.Printf("event=fault cause=%q", why)
+	n.loop.Stop()
+}
--- /dev/null
+++ b/internal/node/start.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"passtack/internal/terms"
+)
+
+// Site is what a driver is told about the place where it runs.
+type Site struct {
+	Name                string
+	Listen, Discovery   netip.AddrPort
+	PeerListen, PeerAll netip.AddrPort
+	Peers               []netip.AddrPort
+	Seed                uint64
+	Descriptors         int
+	Memory              int64 // bytes
+	Known               []byte
+	Terms               map[string]string
+}
+
+// ReadSite reads the file, over which the environment goes.
+func ReadSite(file string, environment func(string) string) (*Site, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var told struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Memory  int64 `json:"memory_mb"`
+			Sockets int
+		}
+		PeerListen string `json:"peer_listen"`
+		PeersAll   string `json:"peers_all"`
+		Peers      []string
+		Known      json.RawMessage
+		Settings   map[string]any
+	}
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber()
+	if err := decoder.Decode(&told); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	s := &Site{
+		Name: told.Name, Known: told.Known, Terms: terms.Nested(told.Settings),
+		Descriptors: told.Limits.Sockets, Memory: told.Limits.Memory << 20,
+	}
+	over := func(name, otherwise string) string {
+		if value := environment(name); value != "" {
+			return value
+		}
+		return otherwise
+	}
+	s.Name = over("BALANCER_NAME", s.Name)
+	if s.Seed, err = strconv.ParseUint(told.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("%s: seed %q is no number in hex", file, told.Seed)
+	}
+	if s.Listen, err = place(file, "listen", over("BALANCER_LISTEN", told.Listen), false); err != nil {
+		return nil, err
+	}
+	if s.Discovery, err = place(file, "discovery", over("BALANCER_DISCOVERY", told.Discovery), false); err != nil {
+		return nil, err
+	}
+	if s.PeerListen, err = place(file, "peer_listen", told.PeerListen, true); err != nil {
+		return nil, err
+	}
+	if s.PeerAll, err = place(file, "peers_all", told.PeersAll, true); err != nil {
+		return nil, err
+	}
+	for _, text := range told.Peers {
+		peer, err := place(file, "peers", text, false)
+		if err != nil {
+			return nil, err
+		}
+		s.Peers = append(s.Peers, peer)
+	}
+	if s.Descriptors <= 0 {
+		s.Descriptors = 1024
+	}
+	for _, name := range []string{"methods.count", "methods.0.name", "family_info.needs", "tick"} {
+		if s.Terms[name] == "" {
+			return nil, fmt.Errorf("%s: the settings give no %s", file, name)
+		}
+	}
+	return s, nil
+}
+
+func place(file, name, text string, optional bool) (at netip.AddrPort, err error) {
+	if text == "" && optional {
+		return at, nil
+	}
+	if at, err = netip.ParseAddrPort(text); err != nil {
+		return at, fmt.Errorf("%s: %s %q is no address with a port", file, name, text)
+	}
+	return at, nil
+}
+
+// methods gives the names in order, and which of them belong to sessions.
+func (s *Site) methods() (names []string, sessions []bool) {
+	t := terms.New(s.Terms)
+	for i := range int(t.Number("methods.count", 0)) {
+		need := t.Item("family_info.needs", i)
+		names = append(names, t.Text("methods."+strconv.Itoa(i)+".name"))
+		sessions = append(sessions, need == "session" || need == "write")
+	}
+	return names, sessions
+}
+
+func (s *Site) span(name string, otherwise time.Duration) time.Duration {
+	if v := terms.New(s.Terms).Span(name); v > 0 {
+		return v
+	}
+	return otherwise
+}
+
+func (s *Site) columns() []string { return strings.Split(s.Terms["report.columns"], ",") }
--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,190 @@
+// Package pgwire reads and writes messages of version 3 of PostgreSQL's protocol. It holds no sockets.
+package pgwire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"strconv"
+)
+
+// What a first message may ask for.
+const (
+	Version3      = 3 << 16
+	CancelRequest = 80877102
+	SSLRequest    = 80877103
+	GSSRequest    = 80877104
+)
+
+// Most is the longest message that is read: a value of 64 KiB, written in hex within a statement.
+const Most = 256 << 10
+
+// ErrLength tells of a message whose length cannot be.
+var ErrLength = errors.New("impossible length of a message")
+
+// First reads the message that starts a connection. A size of 0 asks for more bytes.
+func First(in []byte) (code uint32, size int, err error) {
+	if len(in) < 4 {
+		return 0, 0, nil
+	}
+	length := binary.BigEndian.Uint32(in)
+	if length < 8 || length > 10000 {
+		return 0, 0, ErrLength
+	}
+	if len(in) < int(length) {
+		return 0, 0, nil
+	}
+	return binary.BigEndian.Uint32(in[4:]), int(length), nil
+}
+
+// Next reads the head of a message and cuts its body. A size of 0 asks for more bytes.
+func Next(in []byte) (kind byte, body []byte, size int, err error) {
+	if len(in) < 5 {
+		return 0, nil, 0, nil
+	}
+	length := binary.BigEndian.Uint32(in[1:])
+	if length < 4 || length > Most {
+		return 0, nil, 0, ErrLength
+	}
+	if size = 1 + int(length); len(in) < size {
+		return in[0], nil, 0, nil
+	}
+	return in[0], in[5:size], size, nil
+}
+
+// Text cuts the zero byte from the end of a query's body; ok is false where there is none or one too many.
+func Text(body []byte) (text []byte, ok bool) {
+	if n := bytes.IndexByte(body, 0); n != len(body)-1 {
+		return nil, false
+	}
+	return body[:len(body)-1], true
+}
+
+// Comment reads the names and values of the comment that opens a statement, and tells where each value
+// starts and ends in the text. The rest is what follows the comment.
+func Comment(text []byte, each func(name, value []byte, from, to int)) (rest []byte, ok bool) {
+	if !bytes.HasPrefix(text, []byte("/*")) {
+		return nil, false
+	}
+	end := bytes.Index(text, []byte("*/"))
+	if end < 2 {
+		return nil, false
+	}
+	for at := 2; at < end; {
+		stop := at + bytes.IndexByte(text[at:end], ',')
+		if stop < at {
+			stop = end
+		}
+		name, value, found := bytes.Cut(text[at:stop], []byte("="))
+		if found {
+			from := stop - len(value)
+			value = bytes.TrimRight(value, " ")
+			each(bytes.Trim(name, " "), value, from, from+len(value))
+		}
+		at = stop + 1
+	}
+	return bytes.TrimLeft(text[end+2:], " \t\r\n"), true
+}
+
+// Quoted finds the first quoted literal.
+func Quoted(text []byte) []byte {
+	_, after, found := bytes.Cut(text, []byte("'"))
+	if end := bytes.IndexByte(after, '\''); found && end >= 0 {
+		return after[:end]
+	}
+	return nil
+}
+
+// Fields reads the fields of an error.
+func Fields(body []byte, each func(code byte, value []byte)) {
+	for len(body) > 1 && body[0] != 0 {
+		end := bytes.IndexByte(body[1:], 0)
+		if end < 0 {
+			return
+		}
+		each(body[0], body[1:1+end])
+		body = body[end+2:]
+	}
+}
+
+// Parameter reads a parameter's name and value.
+func Parameter(body []byte) (name, value []byte, ok bool) {
+	name, rest, found := bytes.Cut(body, []byte{0})
+	value, _, ended := bytes.Cut(rest, []byte{0})
+	return name, value, found && ended
+}
+
+// Columns tells how many columns a row has, or a description of rows.
+func Columns(body []byte) int {
+	if len(body) < 2 {
+		return -1
+	}
+	return int(int16(binary.BigEndian.Uint16(body)))
+}
+
+// AppendFirst asks for a connection as the user to the database.
+func AppendFirst(out []byte, user, database string) []byte {
+	at := len(out)
+	out = binary.BigEndian.AppendUint32(out, 0)
+	out = binary.BigEndian.AppendUint32(out, Version3)
+	for _, text := range []string{"user", user, "database", database} {
+		out = append(append(out, text...), 0)
+	}
+	out = append(out, 0)
+	binary.BigEndian.PutUint32(out[at:], uint32(len(out)-at))
+	return out
+}
+
+// AppendHead writes the head of a message whose body has so many bytes.
+func AppendHead(out []byte, kind byte, body int) []byte {
+	return binary.BigEndian.AppendUint32(append(out, kind), uint32(body)+4)
+}
+
+// AppendWelcome lets a client in.
+func AppendWelcome(out []byte, key uint32) []byte {
+	out = binary.BigEndian.AppendUint32(AppendHead(out, 'R', 4), 0)
+	for _, p := range [][2]string{
+		{"server_version", "16.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"}, {"integer_datetimes", "on"}, {"standard_conforming_strings", "on"},
+	} {
+		out = AppendParameter(out, p[0], p[1])
+	}
+	out = binary.BigEndian.AppendUint32(AppendHead(out, 'K', 8), key)
+	return AppendReady(binary.BigEndian.AppendUint32(out, key))
+}
+
+func AppendParameter(out []byte, name, value string) []byte {
+	out = append(AppendHead(out, 'S', len(name)+len(value)+2), name...)
+	return append(append(append(out, 0), value...), 0)
+}
+
+// AppendReady tells that the next query may come.
+func AppendReady(out []byte) []byte { return append(AppendHead(out, 'Z', 1), 'I') }
+
+// AppendEmpty answers an empty query.
+func AppendEmpty(out []byte) []byte { return AppendReady(AppendHead(out, 'I', 0)) }
+
+// AppendDone answers a command that gives no rows.
+func AppendDone(out []byte, tag string) []byte {
+	out = append(AppendHead(out, 'C', len(tag)+1), tag...)
+	return AppendReady(append(out, 0))
+}
+
+// AppendError writes an error. A fatal one ends the connection; detail is left out where it is negative.
+func AppendError(out []byte, fatal bool, code, message string, detail int) []byte {
+	severity := "ERROR"
+	if fatal {
+		severity = "FATAL"
+	}
+	at := len(out)
+	out = AppendHead(out, 'E', 0)
+	for _, field := range [][2]string{{"S", severity}, {"V", severity}, {"C", code}, {"M", message}} {
+		out = append(append(append(out, field[0]...), field[1]...), 0)
+	}
+	if detail >= 0 {
+		out = append(strconv.AppendInt(append(out, 'D'), int64(detail), 10), 0)
+	}
+	out = append(out, 0)
+	binary.BigEndian.PutUint32(out[at+1:], uint32(len(out)-at-1))
+	return out
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"passtack/driver"
+	"passtack/internal/terms"
 	"passtack/rules"
 )
 
@@ -183,7 +184,7 @@
 		if r.short {
 			return errShort
 		}
-		settings := readSettings(string(text))
+		settings := terms.Lines(string(text))
 		i := &instance{table: t, id: id}
 		i.zero, _ = strconv.ParseUint(settings["family_info.base_time_us"], 10, 64)
 		t.instances[id] = i
--- a/internal/simwire/names.go
+++ b/internal/terms/words.go
@@ -1,6 +1,11 @@
-package simwire
+package terms
 
-import "strings"
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // words renames the parts of a setting's path, and its values, from the wire's words to the project's.
 var words = map[string]string{
@@ -33,13 +38,60 @@
 	return strings.Join(parts, separator)
 }
 
-func readSettings(text string) map[string]string {
-	settings := make(map[string]string)
+// Word gives the project's word for one of the platform's, or that one itself.
+func Word(text string) string { return rename(text, ".") }
+
+// Lines reads pairs of the form path=value, one a line.
+func Lines(text string) map[string]string {
+	pairs := make(map[string]string)
 	for line := range strings.Lines(text) {
 		name, value, found := strings.Cut(strings.TrimRight(line, "\r\n"), "=")
 		if found {
-			settings[rename(name, ".")] = rename(value, ",")
+			pairs[rename(name, ".")] = rename(value, ",")
+		}
+	}
+	return pairs
+}
+
+// Nested reads the same pairs out of a JSON object, whose numbers are json.Number.
+func Nested(object map[string]any) map[string]string {
+	pairs := make(map[string]string)
+	flatten(pairs, "", object)
+	return pairs
+}
+
+var plainText = strings.NewReplacer(" ", "_", ",", "_")
+
+func flatten(pairs map[string]string, path string, value any) {
+	switch v := value.(type) {
+	case map[string]any:
+		for name, item := range v {
+			flatten(pairs, strings.TrimPrefix(path+"."+name, "."), item)
+		}
+	case []any:
+		texts := make([]string, len(v))
+		for i, item := range v {
+			if _, nested := item.(map[string]any); nested {
+				pairs[rename(path, ".")+".count"] = strconv.Itoa(len(v))
+				flatten(pairs, path+"."+strconv.Itoa(i), item)
+				continue
+			}
+			texts[i] = plain(item)
 		}
+		pairs[rename(path, ".")] = rename(strings.Join(texts, ","), ",")
+	default:
+		pairs[rename(path, ".")] = rename(plain(v), ",")
+	}
+}
+
+func plain(value any) string {
+	switch v := value.(type) {
+	case nil:
+		return ""
+	case json.Number:
+		return v.String()
+	case string:
+		return plainText.Replace(v)
 	}
-	return settings
+	return fmt.Sprint(value)
 }
