Whole RPCs over loopback are tested; a message in pieces no longer ends its client

They found two faults, both mended here: fewer than five bytes of a message were taken for one of another kind (clients.go, Input), and a query without any text made the parser panic (pgwire.go, Text). Added with them: long messages share a budget, a client that does not read gets no further query served, idle connections of either side make room oldest first, log lines never block the loop.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// Panicked aborts what was being served: it may have run.
+func (c *client) Panicked(cause error) {
+	if !c.gone {
+		c.stream.Send(pgwire.AppendError(nil, true, "58000", "aborted", -1))
+	}
+	if c.serving {
+		c.serving = false
+		c.front.host.ClientLeft(c.rpc)
+	}
+	c.close()
+}
+
 // close ends the connection once what was said has been written.
 func (c *client) close() {
 	c.gone = true
@@ -95,12 +107,12 @@
 }
 
 func (c *client) Input(in []byte) int {
-	if c.serving {
-		return 0
-	}
 	if c.gone {
 		return len(in)
 	}
+	if c.serving || c.stream.Unsent() > 0 { // who does not read gets nothing more to read
+		return 0
+	}
 	c.idle = c.front.loop.Now()
 	if !c.started {
 		return c.start(in)
@@ -110,7 +122,7 @@
 		c.fail("08P01", err.Error())
 		return len(in)
 	}
-	if kind != 'Q' && kind != 'X' {
+	if in[0] != 'Q' && in[0] != 'X' {
 		c.fail("08P01", "only simple queries are served")
 		return len(in)
 	}
@@ -272,38 +284,55 @@
 	f.loop.Later(c.stream.Look) // more may have come behind it
 }
 
-// CloseIdle ends the connection that has asked nothing for longest; it tells whether there was one.
-func (f *Front) CloseIdle() bool {
+// quiet tells of a client that asks nothing and has nothing to hear.
+func (c *client) quiet() bool {
+	return !c.serving && len(c.stream.Unread()) == 0 && c.stream.Unsent() == 0 && c.stream.Alive()
+}
+
+func (c *client) drop() {
+	c.gone = true
+	c.stream.Close()
+	c.front.clients.Drop(c.handle)
+}
+
+// Idle finds the client that has asked nothing for longest, and how to end its connection.
+func (f *Front) Idle() (since time.Duration, end func()) {
 	var oldest *client
 	f.clients.Each(func(_ slots.Handle, c *client) {
-		if !c.serving && !c.gone && len(c.stream.Unread()) == 0 && (oldest == nil || c.idle < oldest.idle) {
+		if (oldest == nil || c.idle < oldest.idle) && c.quiet() {
 			oldest = c
 		}
 	})
 	if oldest == nil {
-		return false
+		return 0, nil
+	}
+	return oldest.idle, func() {
+		f.host.Count("clients_closed_idle")
+		oldest.drop()
 	}
-	f.host.Count("clients_closed_idle")
-	oldest.gone = true
-	oldest.stream.Close()
-	f.clients.Drop(oldest.handle)
-	return true
 }
 
 // Leave ends connections between RPCs from now on; new ones are still served.
 func (f *Front) Leave() {
 	f.leaving = true
 	f.clients.Each(func(_ slots.Handle, c *client) {
-		if c.started && !c.serving && len(c.stream.Unread()) == 0 {
-			c.close()
+		if c.started && c.quiet() {
+			c.drop()
 		}
 	})
 }
 
-// Shut takes no new connections; what waits to be taken in still is.
-func (f *Front) Shut() {
-	f.listener.Drain()
-	f.Leave()
+// Shut takes no new connections; those that wait to be taken in still are.
+func (f *Front) Shut() { f.listener.Drain() }
+
+// Sweep ends what asks nothing, and what has not moved for so long. It counts the clients that remain.
+func (f *Front) Sweep(patience time.Duration) int {
+	f.clients.Each(func(_ slots.Handle, c *client) {
+		if !c.serving && (c.quiet() || f.loop.Now()-c.idle > patience) {
+			c.drop()
+		}
+	})
+	return f.clients.Count()
 }
 
 // Open counts the clients that are connected.
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -140,6 +140,8 @@
 	d.failed(cause)
 }
 
+func (d *Discovery) Panicked(cause error) { d.failed(cause) }
+
 func (d *Discovery) drop() {
 	if d.stream != nil {
 		d.stream.Close()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,28 +21,31 @@
 
 // Loop owns the descriptors and the due times.
 type Loop struct {
-	poll         int
-	bell         int
-	sources      slots.Table[source]
-	dues         due.Queue[func()]
-	began        time.Time
-	zero         time.Duration
-	now, earlier time.Duration
-	events       [512]unix.EpollEvent
-	stopped      bool
-	spare        [][]byte // read buffers of the common size that nobody uses
-	most         int      // descriptors
+	poll          int
+	bell          int
+	sources       slots.Table[source]
+	dues          due.Queue[func()]
+	began         time.Time
+	zero          time.Duration
+	now, earlier  time.Duration
+	events        [512]unix.EpollEvent
+	stopped       bool
+	spare         [][]byte  // read buffers of the common size that nobody uses
+	larger        int       // bytes that read buffers take past the common size
+	budget        int       // the most of them
+	starved       []*Stream // which wait for some of them
+	most, highest int       // descriptors: that may be held, that ever were
+	freed         []func()  // called when a descriptor is free again
 	// MakeRoom closes something that is idle; it tells whether it found anything.
 	MakeRoom func() bool
-	freed    []func() // called when a descriptor is free again
 }
 
 // owned are the descriptors that the runtime and the loop itself hold: three standard ones, the loop's two,
 // the runtime's own poll and its bell, and one in hand.
 const owned = 8
 
-// New makes a loop that holds no more descriptors than most.
-func New(most int) (*Loop, error) {
+// New makes a loop that holds no more descriptors than most, and no more bytes of long messages than budget.
+func New(most, budget int) (*Loop, error) {
 	poll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, err
@@ -51,7 +54,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Loop{poll: poll, bell: bell, began: time.Now(), most: most - owned, MakeRoom: func() bool { return false }}
+	l := &Loop{poll: poll, bell: bell, began: time.Now(), most: most - owned, budget: budget}
+	l.MakeRoom = func() bool { return false }
 	l.zero = time.Duration(l.began.UnixNano())
 	l.now = l.clock()
 	l.earlier = l.now
@@ -133,11 +137,12 @@
 	return l.sources.Count() < l.most || l.MakeRoom() && l.sources.Count() < l.most
 }
 
-// Open counts the descriptors that are held.
-func (l *Loop) Open() int { return l.sources.Count() + owned }
+// Open counts the descriptors that are held, and the most that ever were.
+func (l *Loop) Open() (now, most int) { return l.sources.Count() + owned, l.highest + owned }
 
 func (l *Loop) add(fd int, s source, events uint32) (slots.Handle, error) {
 	h := l.sources.Put(s)
+	l.highest = max(l.highest, l.sources.Count())
 	event := unix.EpollEvent{Events: events, Fd: int32(h)}
 	if err := unix.EpollCtl(l.poll, unix.EPOLL_CTL_ADD, fd, &event); err != nil {
 		l.sources.Drop(h)
--- /dev/null
+++ b/internal/loop/loop_test.go
@@ -0,0 +1,173 @@
+package loop
+
+import (
+	"bytes"
+	"io"
+	"log"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+)
+
+// echo gives back what it is sent; a text that starts with '!' makes it panic.
+type echo struct {
+	stream   *Stream
+	panicked bool
+	holds    bool // takes nothing
+}
+
+func (e *echo) Opened()              {}
+func (e *echo) Closed(error)         {}
+func (e *echo) Panicked(cause error) { e.panicked = true; e.stream.CloseWhenSent() }
+
+func (e *echo) Input(in []byte) int {
+	if in[0] == '!' {
+		panic("as asked")
+	}
+	if e.holds || e.stream.Unsent() > 0 {
+		return 0
+	}
+	e.stream.Send(in)
+	return len(in)
+}
+
+func run(t *testing.T, most, budget int, holds bool) (l *Loop, at netip.AddrPort, stop func()) {
+	log.SetOutput(io.Discard)
+	l, err := New(most, budget)
+	if err != nil {
+		t.Fatal(err)
+	}
+	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at = netip.MustParseAddrPort(probe.Addr().String())
+	probe.Close()
+	if _, err := l.Listen(at, 64<<10, func(open func(Owner) *Stream) {
+		e := &echo{holds: holds}
+		e.stream = open(e)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	go func() { done <- l.Run(l.Stop) }()
+	stop = sync.OnceFunc(func() {
+		l.Ring()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(stop)
+	return l, at, stop
+}
+
+func dial(t *testing.T, at netip.AddrPort) net.Conn {
+	c, err := net.Dial("tcp", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func says(t *testing.T, c net.Conn, text string) {
+	c.Write([]byte(text))
+	got := make([]byte, len(text))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != text {
+		t.Fatalf("%q came back as %q, %v", text, got, err)
+	}
+}
+
+func TestPanicEndsOneStreamOnly(t *testing.T) {
+	_, at, _ := run(t, 100, 1<<20, false)
+	other, struck := dial(t, at), dial(t, at)
+	says(t, other, "before")
+	struck.Write([]byte("!"))
+	if n, err := struck.Read(make([]byte, 9)); err != io.EOF {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+	says(t, other, "after")
+}
+
+func TestSlowReaderSlowsOnlyItself(t *testing.T) {
+	_, at, _ := run(t, 100, 1<<20, false)
+	slow, other := dial(t, at), dial(t, at)
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
+	go slow.Write(sent)
+	for range 50 {
+		says(t, other, "quick")
+	}
+	got := make([]byte, len(sent))
+	if _, err := io.ReadFull(slow, got); err != nil || !bytes.Equal(got, sent) {
+		t.Fatalf("what the slow reader reads in the end differs, %v", err)
+	}
+}
+
+func TestNewcomersWaitForADescriptor(t *testing.T) {
+	l, at, stop := run(t, owned+4, 1<<20, false) // the listener and three clients
+	var clients []net.Conn
+	for range 3 {
+		clients = append(clients, dial(t, at))
+		says(t, clients[len(clients)-1], "in")
+	}
+	late := dial(t, at)
+	late.Write([]byte("waits"))
+	late.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	if n, err := late.Read(make([]byte, 9)); err == nil {
+		t.Fatalf("%d bytes came past the limit", n)
+	}
+	late.SetReadDeadline(time.Now().Add(20 * time.Second))
+	clients[0].Close()
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(late, got); err != nil || string(got) != "waits" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	stop()
+	if _, most := l.Open(); most > owned+4 {
+		t.Fatalf("%d descriptors were open", most)
+	}
+}
+
+func TestLongMessagesShareABudget(t *testing.T) {
+	const budget = 40 << 10
+	l, at, stop := run(t, 100, budget, true)
+	for range 5 { // each would hold 64 KiB
+		c := dial(t, at)
+		c.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		c.Write(make([]byte, 8<<20))
+	}
+	stop()
+	if l.larger > budget || l.larger < budget/2 || len(l.starved) == 0 {
+		t.Fatalf("%d bytes past the common size are held, %d streams wait", l.larger, len(l.starved))
+	}
+	for _, s := range l.starved {
+		s.Close()
+	}
+	if l.larger != 0 || len(l.starved) != 0 {
+		t.Fatalf("%d bytes are held for nobody, %d streams wait", l.larger, len(l.starved))
+	}
+}
+
+func TestDueTimesComeInOrder(t *testing.T) {
+	l, err := New(100, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	order := ""
+	add := func(name string) func() { return func() { order += name } }
+	now := l.Now()
+	l.At(now+20*time.Millisecond, add("d"))
+	l.At(now+5*time.Millisecond, func() {
+		order += "b"
+		l.Later(add("c"))
+		panic("as asked")
+	})
+	l.Later(add("a"))
+	l.At(now+30*time.Millisecond, l.Stop)
+	if err := l.Run(func() {}); err != nil || order != "abcd" {
+		t.Fatalf("order %s, %v", order, err)
+	}
+}
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -13,9 +13,10 @@
 
 // Owner is told what happens on its stream.
 type Owner interface {
-	Opened()             // a connect has succeeded
-	Input(in []byte) int // all that has not been taken; it tells how many bytes it is done with
-	Closed(cause error)  // by the other side or by an error; the stream is gone already
+	Opened()              // a connect has succeeded
+	Input(in []byte) int  // all that has not been taken; it tells how many bytes it is done with
+	Closed(cause error)   // by the other side or by an error; the stream is gone already
+	Panicked(cause error) // while it was served; the owner says its last words and closes
 }
 
 // ErrNoRoom tells that all descriptors are in use.
@@ -31,6 +32,7 @@
 	owner   Owner
 	opening bool
 	full    bool // reading rests, since the buffer is full
+	starved bool // reading rests, since all buffers together are full
 	last    bool // closes once all is written
 	closed  bool
 	busy    bool   // its owner is looking at the input
@@ -78,7 +80,7 @@
 
 func (s *Stream) interest() uint32 {
 	events := uint32(unix.EPOLLRDHUP)
-	if !s.full && !s.opening {
+	if !s.full && !s.starved && !s.opening {
 		events |= unix.EPOLLIN
 	}
 	if s.opening || s.Unsent() > 0 {
@@ -104,14 +106,18 @@
 	if s.closed {
 		return
 	}
-	if events&unix.EPOLLIN != 0 && !s.full {
+	if events&unix.EPOLLIN != 0 && !s.full && !s.starved {
 		s.read()
 	} else if events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		s.fail(io.EOF)
 	}
 }
 
-func (s *Stream) broken(cause error) { s.fail(cause) }
+func (s *Stream) broken(cause error) {
+	if s.busy = false; !s.closed {
+		s.owner.Panicked(cause)
+	}
+}
 
 func (s *Stream) opened() {
 	code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
@@ -128,7 +134,12 @@
 }
 
 func (s *Stream) read() {
-	s.space()
+	if !s.space() {
+		s.starved = true
+		s.loop.starved = append(s.loop.starved, s)
+		s.update()
+		return
+	}
 	n, err := unix.Read(s.fd, s.buffer[len(s.buffer):cap(s.buffer)])
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
@@ -144,8 +155,8 @@
 	s.Look()
 }
 
-// space leaves some room behind what was read.
-func (s *Stream) space() {
+// space leaves some room behind what was read, if there is any to be had.
+func (s *Stream) space() bool {
 	if s.buffer == nil {
 		if n := len(s.loop.spare); n > 0 {
 			s.buffer, s.loop.spare = s.loop.spare[n-1], s.loop.spare[:n-1]
@@ -154,15 +165,21 @@
 		}
 	}
 	if len(s.buffer) < cap(s.buffer) {
-		return
+		return true
 	}
 	if s.taken > 0 {
 		s.buffer, s.taken = s.buffer[:copy(s.buffer, s.buffer[s.taken:])], 0
-		return
+		return true
 	}
-	larger := make([]byte, len(s.buffer), min(2*cap(s.buffer), s.most))
+	size := min(2*cap(s.buffer), s.most)
+	if s.loop.larger+size-cap(s.buffer) > s.loop.budget {
+		return false
+	}
+	s.loop.larger += size - cap(s.buffer)
+	larger := make([]byte, len(s.buffer), size)
 	copy(larger, s.buffer)
 	s.buffer = larger
+	return true
 }
 
 // Look shows the owner what has not been taken.
@@ -198,8 +215,17 @@
 func (s *Stream) Skip(n int) { s.taken += n }
 
 func (s *Stream) release() {
+	l := s.loop
 	if cap(s.buffer) == common {
-		s.loop.spare = append(s.loop.spare, s.buffer[:0])
+		l.spare = append(l.spare, s.buffer[:0])
+	} else if s.buffer != nil {
+		l.larger -= cap(s.buffer) - common
+		waiting := l.starved
+		l.starved = nil
+		for _, o := range waiting {
+			o.starved = false
+			o.update()
+		}
 	}
 	s.buffer, s.taken = nil, 0
 }
@@ -252,6 +278,7 @@
 		return
 	}
 	s.update()
+	s.Look() // an owner may have waited for this with more input
 }
 
 // Alive looks whether the other side has closed the stream or said something that was not read yet.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -215,6 +215,8 @@
 
 func (k *conn) Opened() {}
 
+func (k *conn) Panicked(cause error) { k.broken(cause) }
+
 // broken ends the connection, and with it the call-out that it carries.
 func (k *conn) broken(cause error) {
 	k.drop()
@@ -298,6 +300,9 @@
 // Input reads what has come so far; nothing is taken before the answer is whole.
 func (k *conn) Input(in []byte) int {
 	p := k.pool
+	if k.ready && k.call == nil {
+		return k.chat(in)
+	}
 	p.rows, p.report = p.rows[:0], p.report[:0]
 	rows, done, whole := 0, false, false
 	pos, role := time.Duration(0), driver.Unknown
@@ -376,6 +381,15 @@
 	return at
 }
 
+// chat passes over what an idle member may say unasked; after anything else it is not used again.
+func (k *conn) chat(in []byte) int {
+	kind, _, size, err := pgwire.Next(in)
+	if err != nil || kind != 'S' && kind != 'N' && kind != 0 {
+		k.drop()
+	}
+	return size
+}
+
 func (k *conn) parameter(body []byte, pos time.Duration, role driver.Role) (time.Duration, driver.Role) {
 	name, value, _ := pgwire.Parameter(body)
 	switch string(name) {
@@ -484,21 +498,21 @@
 	}
 }
 
-// CloseOldest ends the connection that was idle for longest; it tells whether there was one.
-func (p *Pool) CloseOldest() bool {
+// Idle finds the connection that was idle for longest, and how to end it.
+func (p *Pool) Idle() (since time.Duration, end func()) {
 	var oldest *conn
 	for _, m := range p.members {
-		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since ||
-			m.idle[0].since == oldest.since && m.id < oldest.member.id) {
+		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since) {
 			oldest = m.idle[0]
 		}
 	}
 	if oldest == nil {
-		return false
+		return 0, nil
+	}
+	return oldest.since, func() {
+		p.host.Count("members_closed_idle")
+		oldest.drop()
 	}
-	p.host.Count("members_closed_idle")
-	oldest.drop()
-	return true
 }
 
 // Open counts the connections, Out the call-outs that have no outcome yet.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,13 +49,15 @@
 	zones   []string
 	counts  map[string]int
 	most    int // call-outs of one RPC
+	tick    time.Duration
 	fault   error
 	leaving bool
+	lines   *lines
 }
 
 // New opens all sockets; Run serves.
 func New(site *Site) (*Node, error) {
-	l, err := loop.New(site.Descriptors)
+	l, err := loop.New(site.Descriptors, int(site.Memory/buffers))
 	if err != nil {
 		return nil, err
 	}
@@ -63,8 +65,9 @@
 	n := &Node{
 		site: site, loop: l, uids: make(map[string]driver.Member), counts: make(map[string]int),
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
+		tick: t.Span("tick"),
 	}
-	l.MakeRoom = func() bool { return n.pool.CloseOldest() || n.front.CloseIdle() }
+	l.MakeRoom = n.makeRoom
 	n.pool = members.New(l, n, site.span("caps.connect_timeout", 250*time.Millisecond),
 		site.span("caps.idle_close", time.Hour), site.columns(), terms.Word)
 	n.list = list.New(l, n, site.Discovery)
@@ -96,10 +99,10 @@
 	return n, nil
 }
 
-// What a planned stop looks like to clients: for a moment connections still come, and what came is answered.
 const (
-	newcomers = 500 * time.Millisecond
-	drained   = 20 * time.Millisecond // between looks whether all is answered
+	newcomers = 500 * time.Millisecond // connections still come for so long after a planned stop was begun
+	look      = 20 * time.Millisecond  // between looks whether all is answered
+	buffers   = 4                      // a quarter of the memory may hold long messages
 )
 
 // Run serves until it is told to stop and has answered all that it took.
@@ -107,6 +110,8 @@
 	if n.site.Memory > 0 {
 		debug.SetMemoryLimit(n.site.Memory * 3 / 4)
 	}
+	n.lines = logTo(os.Stderr)
+	defer n.lines.end()
 	signals := make(chan os.Signal, 8)
 	heard := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
@@ -136,6 +141,19 @@
 	return errors.Join(err, n.fault)
 }
 
+// makeRoom closes the connection that was idle for longest.
+func (n *Node) makeRoom() bool {
+	memberSince, end := n.pool.Idle()
+	if clientSince, endClient := n.front.Idle(); end == nil || endClient != nil && clientSince < memberSince {
+		end = endClient
+	}
+	if end == nil {
+		return false
+	}
+	end()
+	return true
+}
+
 func (n *Node) leave() {
 	if n.leaving {
 		return
@@ -145,16 +163,16 @@
 	n.front.Leave()
 	n.loop.At(n.loop.Now()+newcomers, func() {
 		n.front.Shut()
-		n.stopWhenDone()
+		n.loop.At(n.loop.Now()+look, n.stopWhenDone)
 	})
 }
 
 func (n *Node) stopWhenDone() {
-	if n.front.Open() == 0 {
+	if n.front.Sweep(newcomers) == 0 {
 		n.loop.Stop()
 		return
 	}
-	n.loop.At(n.loop.Now()+drained, n.stopWhenDone)
+	n.loop.At(n.loop.Now()+look, n.stopWhenDone)
 }
 
 // Count adds one to a counter.
@@ -170,8 +188,9 @@
 	for _, name := range names {
 		fmt.Fprintf(&line, " %s=%d", name, n.counts[name])
 	}
-	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d%s",
-		n.rpcs.Count(), n.front.Open(), n.pool.Open(), n.loop.Open(), line.String())
+	open, most := n.loop.Open()
+	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d descriptors_most=%d lines_lost=%d%s",
+		n.rpcs.Count(), n.front.Open(), n.pool.Open(), open, most, n.lines.lost.Load(), line.String())
 }
 
 // Take hands an RPC to the module.
@@ -185,10 +204,21 @@
 		n.front.PushBack(from, 0)
 		return 0
 	}
+	n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
 	n.module.Take(driver.RPC(h), method, group, 0, session, until, wrote, repeat)
 	return driver.RPC(h)
 }
 
+// overdue answers what a panic in the module has left without an answer. It may have run.
+func (n *Node) overdue(id driver.RPC) {
+	if q := n.get(id); q != nil && !q.answered {
+		n.Count("rpcs_overdue")
+		log.Printf("event=overdue rpc=%d callouts=%d", id, len(q.calls))
+		n.Abort(id)
+		n.module.ClientLeft(id)
+	}
+}
+
 func (n *Node) get(id driver.RPC) *rpc { return n.rpcs.Get(slots.Handle(id)) }
 
 // answered marks the one final answer; it tells whether the client still waits for it.
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,766 @@
+package node
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"passtack/internal/pcg"
+	"passtack/internal/pgwire"
+)
+
+// What follows stands in for members, discovery and clients, after the public description of the protocols.
+
+// query is one statement that a member was sent.
+type query struct {
+	text         string
+	began, ended time.Time
+	mayHaveRun   bool
+}
+
+func field(text, name string) string {
+	value := ""
+	pgwire.Comment([]byte(text), func(n, v []byte, _, _ int) {
+		if string(n) == name {
+			value = string(v)
+		}
+	})
+	return value
+}
+
+// member does with each statement what act says; it closes the connection where act tells so.
+type member struct {
+	listener net.Listener
+	act      func(c net.Conn, q *query) (open bool)
+	greet    func(c net.Conn) (open bool)
+	mutex    sync.Mutex
+	queries  []*query
+	opened   int
+}
+
+func message(r *bufio.Reader) (kind byte, body []byte, err error) {
+	var head [5]byte
+	if _, err = io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	body = make([]byte, binary.BigEndian.Uint32(head[1:])-4)
+	_, err = io.ReadFull(r, body)
+	return head[0], body, err
+}
+
+func startMember(t *testing.T, act func(c net.Conn, q *query) bool) *member {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &member{listener: l, act: act}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+	return m
+}
+
+func (m *member) serve(c net.Conn) {
+	defer c.Close()
+	m.mutex.Lock()
+	m.opened++
+	m.mutex.Unlock()
+	if m.greet != nil && !m.greet(c) {
+		return
+	}
+	r := bufio.NewReader(c)
+	var length [4]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return
+	}
+	io.CopyN(io.Discard, r, int64(binary.BigEndian.Uint32(length[:]))-4)
+	c.Write(pgwire.AppendWelcome(nil, 1))
+	for {
+		kind, body, err := message(r)
+		if err != nil || kind != 'Q' {
+			return
+		}
+		q := &query{text: string(body[:len(body)-1]), began: time.Now()}
+		m.mutex.Lock()
+		m.queries = append(m.queries, q)
+		m.mutex.Unlock()
+		open := m.act(c, q)
+		if !open {
+			c.Close()
+		}
+		m.mutex.Lock()
+		q.ended = time.Now()
+		m.mutex.Unlock()
+		if !open {
+			return
+		}
+	}
+}
+
+func (m *member) seen() []*query {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return append([]*query(nil), m.queries...)
+}
+
+func rows(value string) []byte {
+	out := append(pgwire.AppendHead(nil, 'T', 2+4+18), 0, 1, 'd', 'o', 'c', 0)
+	out = append(out, make([]byte, 18)...)
+	out = append(pgwire.AppendHead(out, 'D', 6+len(value)), 0, 1)
+	out = append(binary.BigEndian.AppendUint32(out, uint32(len(value))), value...)
+	return append(pgwire.AppendHead(out, 'C', 9), "SELECT 1\x00"...)
+}
+
+func note(out []byte, role string) []byte {
+	now := time.Now()
+	out = pgwire.AppendParameter(out, "node_role", role)
+	out = pgwire.AppendParameter(out, "replay_position", strconv.FormatInt(now.UnixMilli(), 10))
+	leads := map[string]int{"leader": 1, "follower": 0}[role]
+	return pgwire.AppendParameter(out, "server_load", fmt.Sprintf("x0=%.3f,x1=%d,util=0.5", float64(now.UnixMilli())/1000, leads))
+}
+
+func ok(c net.Conn, q *query, role string) bool {
+	c.Write(pgwire.AppendReady(note(rows("value of "+field(q.text, "id")), role)))
+	return true
+}
+
+func refuse(c net.Conn, code, role string) bool {
+	c.Write(pgwire.AppendReady(note(pgwire.AppendError(nil, false, code, "no", -1), role)))
+	return true
+}
+
+func silence(c net.Conn) bool {
+	c.Read(make([]byte, 1))
+	return false
+}
+
+func leader(c net.Conn, q *query) bool { return ok(c, q, "leader") }
+
+// target is an entry of the list.
+func target(number int, group int, at net.Addr, state string) string {
+	return fmt.Sprintf(`{"uid":"s-%d","endpoint":"%s","az":"a","model":"m","pod_group":%d,"state":"%s","capacity_hint":1,"boot_ms":0}`,
+		number, at, group, state)
+}
+
+func listOf(rev int, all bool, targets ...string) string {
+	return fmt.Sprintf(`{"rev":%d,"all":%t,"targets":[%s]}`, rev, all, strings.Join(targets, ","))
+}
+
+const settings = `{"areas":["a"],"balancers":1,"tick_us":5000,"locality":0,"registry_mode":"automatic","position":0,
+"caps":{"connect_timeout_us":250000,"idle_close_us":15000000,"max_retry_after_us":1000000,"may_cancel":true,"most_tries":8},
+"classes":[
+{"name":"look","effect":"safe","group":"all","hard_limit_us":2500000,"late_worth":0.2,"points":3.0,"target_us":1000000},
+{"name":"own","effect":"safe","group":"all","hard_limit_us":2000000,"late_worth":0.0,"points":1.0,"target_us":800000},
+{"name":"order","effect":"keyed","group":"cell","hard_limit_us":2000000,"late_worth":0.5,"points":6.0,"target_us":600000,"window_us":1200000},
+{"name":"pay","effect":"unsafe","group":"cell","hard_limit_us":2000000,"late_worth":0.5,"points":6.0,"target_us":600000}],
+"family_info":{"answers_stamped":true,"behind":"hold","class_read":["recent","own_writes","update","update"],
+"lag_allowed_us":[800000,0,0,0],"write_marks":"client","role_listed":"off"},
+"report":{"columns":["x0","x1","load_share"],"how":"inline"},
+"rules":{"cold_us":16000000,"drain_grace_us":250000,"fall_multiple":4.0,"start_capacity":0.25,"tip_after_us":1000000}}`
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// running is a driver under test; stop tells it to stop and waits until it has.
+type running struct {
+	*Node
+	at   string
+	stop func()
+}
+
+func start(t *testing.T, discovery string, sockets int, known string) *running {
+	if discovery == "" {
+		discovery = freeAddress(t)
+	}
+	at := freeAddress(t)
+	file := filepath.Join(t.TempDir(), "site.json")
+	os.WriteFile(file, fmt.Appendf(nil, `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"peer_listen":"%s","peers":["127.0.0.1:9"],"peers_all":"127.0.0.1:9",
+"known":%s,"settings":%s}`, at, discovery, sockets, freeAddress(t), known, settings), 0o600)
+	site, err := ReadSite(file, func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(site)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error)
+	go func() { done <- n.Run() }()
+	d := &running{Node: n, at: at}
+	d.stop = sync.OnceFunc(func() {
+		syscall.Kill(os.Getpid(), syscall.SIGTERM)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(d.stop)
+	if got := dial(t, at).ask(t, ""); got != "empty" { // Run listens to signals from before it serves
+		t.Fatalf("the empty query is answered by %s", got)
+	}
+	return d
+}
+
+// client speaks as one that is patient.
+type client struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, at string) *client {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(30 * time.Second))
+	c.Write(pgwire.AppendFirst(nil, "app", "shop"))
+	return &client{c, bufio.NewReader(c)}
+}
+
+func asQuery(text string) []byte {
+	return append(append(pgwire.AppendHead(nil, 'Q', len(text)+1), text...), 0)
+}
+
+func statement(id, method string, millis, group int) string {
+	return fmt.Sprintf("/* id=%s,c=%s,d=%d,k=key-%s,cluster=%d */ INSERT INTO items (id, doc) VALUES ('%s', 'x')", id, method, millis, id, group, id)
+}
+
+// answer reads up to the end of one answer.
+func (c *client) answer() string {
+	got := ""
+	for {
+		kind, body, err := message(c.r)
+		if err != nil {
+			return got + "closed"
+		}
+		switch kind {
+		case 'D':
+			got = "ok " + string(body[6:])
+		case 'I':
+			got = "empty"
+		case 'C':
+			if got == "" {
+				got = "done"
+			}
+		case 'E':
+			pgwire.Fields(body, func(code byte, value []byte) {
+				if code == 'C' {
+					got = string(value)
+				}
+			})
+		case 'Z':
+			if got != "" {
+				return got
+			}
+		}
+	}
+}
+
+func (c *client) ask(t *testing.T, text string) string {
+	t.Helper()
+	c.Write(asQuery(text))
+	return c.answer()
+}
+
+const pushedBack, aborted, unclear = "53300", "58000", "08P01"
+
+// Each member has a group and a way to fail of its own; the outcome must be what the bytes prove, and no more.
+func TestBreaksAtEachStage(t *testing.T) {
+	hangUp := func(net.Conn) bool { return false }
+	breaks := []struct {
+		what, want, outcome string
+		greet               func(net.Conn) bool
+		act                 func(net.Conn, *query) bool
+		member              *member
+	}{
+		{what: "refused", want: pushedBack, outcome: "no_connection"},
+		{what: "hangs up on the connect", want: pushedBack, outcome: "no_connection", greet: hangUp, act: leader},
+		{what: "says nothing on the connect", want: pushedBack, outcome: "no_connection", greet: silence, act: leader},
+		{what: "has too many connections", want: pushedBack, outcome: "full", act: leader, greet: func(c net.Conn) bool {
+			c.Write(pgwire.AppendError(nil, true, "53300", "too many", -1))
+			return false
+		}},
+		{what: "speaks something else", want: pushedBack, outcome: "no_connection", act: leader, greet: func(c net.Conn) bool {
+			c.Write([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))
+			return false
+		}},
+		{what: "hangs up on the query", want: aborted, outcome: "broken", act: func(net.Conn, *query) bool { return false }},
+		{what: "hangs up mid answer", want: aborted, outcome: "broken", act: func(c net.Conn, q *query) bool {
+			c.Write(rows("half")[:30])
+			return false
+		}},
+		{what: "answers garbage", want: aborted, outcome: "broken", act: func(c net.Conn, q *query) bool {
+			c.Write([]byte{'D', 255, 255, 255, 255, 1, 2})
+			return silence(c)
+		}},
+		{what: "answers without a row", want: aborted, outcome: "failed", act: func(c net.Conn, q *query) bool {
+			c.Write(pgwire.AppendDone(nil, "SELECT 0"))
+			return true
+		}},
+		{what: "says nothing", want: aborted, outcome: "timed_out", act: func(c net.Conn, q *query) bool { return silence(c) }},
+		{what: "fails", want: aborted, outcome: "failed", act: func(c net.Conn, q *query) bool { return refuse(c, "XX000", "leader") }},
+		{what: "fails and hangs up", want: aborted, outcome: "failed", act: func(c net.Conn, q *query) bool {
+			c.Write(pgwire.AppendError(nil, true, "XX000", "no", -1))
+			return false
+		}},
+		{what: "is full", want: pushedBack, outcome: "full", act: func(c net.Conn, q *query) bool { return refuse(c, "53300", "leader") }},
+		{what: "is no primary", want: pushedBack, outcome: "miss", act: func(c net.Conn, q *query) bool { return refuse(c, "25006", "follower") }},
+		{what: "says more than was asked", want: "ok value of f14", outcome: "ok", act: func(c net.Conn, q *query) bool {
+			ok(c, q, "leader")
+			c.Write(rows("more"))
+			return true
+		}},
+	}
+	var targets []string
+	wanted := make(map[string]int)
+	for i := range breaks {
+		b := &breaks[i]
+		b.member = startMember(t, b.act)
+		b.member.greet = b.greet
+		if b.act == nil {
+			b.member.listener.Close()
+		}
+		wanted["callouts_"+b.outcome]++
+		targets = append(targets, target(i, i, b.member.listener.Addr(), "in_service"))
+	}
+	d := start(t, "", 100, listOf(1, true, targets...))
+	var all sync.WaitGroup
+	for i, b := range breaks {
+		all.Go(func() {
+			id := fmt.Sprintf("f%d", i)
+			began := time.Now()
+			if got := dial(t, d.at).ask(t, statement(id, "pay", 600, i)); got != b.want {
+				t.Errorf("%s: the client hears %s, not %s", b.what, got, b.want)
+			}
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("%s: the answer took %v", b.what, took)
+			}
+			ran := b.member.seen()
+			for _, q := range ran {
+				if field(q.text, "id") != id || field(q.text, "k") != "key-"+id ||
+					!strings.HasSuffix(q.text, " */ INSERT INTO items (id, doc) VALUES ('"+id+"', 'x')") {
+					t.Errorf("%s: the member was sent %q", b.what, q.text)
+				}
+				if left, err := strconv.Atoi(field(q.text, "d")); err != nil || left < 1 || left > 600 {
+					t.Errorf("%s: the member is told of %s ms", b.what, field(q.text, "d"))
+				}
+			}
+			if len(ran) > 1 && b.want == aborted {
+				t.Errorf("%s: %d call-outs of which one may have run", b.what, len(ran))
+			}
+		})
+	}
+	all.Wait()
+	d.stop()
+	for outcome, count := range wanted {
+		if d.counts[outcome] < count {
+			t.Errorf("%d call-outs counted as %s, at least %d wanted", d.counts[outcome], outcome, count)
+		}
+	}
+	if d.counts["callouts_sent"] != d.outcomes() || d.rpcs.Count() != 0 || d.pool.Out() != 0 {
+		t.Errorf("%d RPCs and %d call-outs are left, counted %v", d.rpcs.Count(), d.pool.Out(), d.counts)
+	}
+}
+
+func (d *running) outcomes() (sum int) {
+	for _, name := range outcomes {
+		sum += d.counts["callouts_"+name]
+	}
+	return sum
+}
+
+// Members and clients do anything at random; the rules must hold for each RPC.
+func TestRulesHoldOnRandomDays(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			var members []*member
+			var targets []string
+			for i := range 4 {
+				role := map[bool]string{true: "leader", false: "follower"}[i%2 == 0]
+				chance, mutex := pcg.New(seed*100+uint64(i)), sync.Mutex{}
+				m := startMember(t, func(c net.Conn, q *query) bool {
+					mutex.Lock()
+					dice, wait := chance.Float(), time.Duration(chance.Below(20))*time.Millisecond
+					mutex.Unlock()
+					write := strings.Contains(q.text, "c=order") || strings.Contains(q.text, "c=pay")
+					if write && role != "leader" {
+						return refuse(c, "25006", role)
+					}
+					time.Sleep(wait)
+					switch {
+					case dice < 0.08:
+						return refuse(c, "53300", role)
+					case dice < 0.12:
+						return refuse(c, "72000", role)
+					}
+					q.mayHaveRun = true
+					switch {
+					case dice < 0.17:
+						return false
+					case dice < 0.21:
+						c.Write(rows("half")[:25])
+						return false
+					case dice < 0.26:
+						return refuse(c, "XX000", role)
+					case dice < 0.29:
+						return silence(c)
+					}
+					return ok(c, q, role)
+				})
+				members, targets = append(members, m), append(targets, target(i, i/2, m.listener.Addr(), "in_service"))
+			}
+			d := start(t, "", 60, listOf(1, true, targets...))
+			type result struct {
+				id, method, answer string
+				sent, answered     time.Time
+			}
+			results := make(chan result, 1000)
+			var all sync.WaitGroup
+			for n := range 8 {
+				all.Go(func() {
+					chance := pcg.New(seed*1000 + uint64(n))
+					c := dial(t, d.at)
+					for i := range 30 {
+						r := result{id: fmt.Sprintf("%d%c%d", n, 'a', i), method: []string{"look", "own", "order", "pay"}[chance.Below(4)]}
+						r.sent = time.Now()
+						c.Write(asQuery(statement(r.id, r.method, 300, chance.Below(2))))
+						if chance.Float() < 0.05 { // gone before the answer
+							c.Close()
+							c = dial(t, d.at)
+							r.answer = "left"
+						} else {
+							r.answer = c.answer()
+						}
+						r.answered = time.Now()
+						results <- r
+					}
+				})
+			}
+			all.Wait()
+			close(results)
+			d.stop()
+			callOuts := make(map[string][]*query)
+			for i, m := range members {
+				for _, q := range m.seen() {
+					callOuts[field(q.text, "id")] = append(callOuts[field(q.text, "id")], q)
+					if field(q.text, "cluster") != strconv.Itoa(i/2) {
+						t.Errorf("member %d was sent %q", i, q.text)
+					}
+				}
+			}
+			oks := 0
+			for r := range results {
+				mayHaveRun := 0
+				for i, q := range callOuts[r.id] {
+					if q.mayHaveRun {
+						mayHaveRun++
+					}
+					if r.answer != "left" && q.began.After(r.answered.Add(100*time.Millisecond)) {
+						t.Errorf("%s: a call-out after the answer %s", r.id, r.answer)
+					}
+					for _, o := range callOuts[r.id][:i] {
+						if q.began.Before(o.ended) && o.began.Before(q.ended) && !(q.mayHaveRun && o.mayHaveRun && r.answer == "left") {
+							t.Errorf("%s: two call-outs at once", r.id)
+						}
+					}
+				}
+				switch r.answer {
+				case "ok value of " + r.id:
+					oks++
+				case pushedBack:
+					if mayHaveRun > 0 && (r.method == "pay" || r.method == "order") {
+						t.Errorf("%s: %s is pushed back though it may have run", r.id, r.method)
+					}
+				case aborted, "left":
+				default:
+					t.Errorf("%s: the client hears %q", r.id, r.answer)
+				}
+				if r.method == "pay" && mayHaveRun > 1 {
+					t.Errorf("%s: may have run %d times", r.id, mayHaveRun)
+				}
+				if took := r.answered.Sub(r.sent); took > 2*time.Second {
+					t.Errorf("%s: the answer took %v", r.id, took)
+				}
+			}
+			if oks < 100 {
+				t.Errorf("only %d of 240 RPCs are ok", oks)
+			}
+			taken := d.counts["rpcs_ok"] + d.counts["rpcs_pushed_back"] + d.counts["rpcs_aborted"] + d.counts["rpcs_left"]
+			if d.rpcs.Count() != 0 || d.counts["rpcs_taken"] != taken || d.counts["rpcs_overdue"] != 0 || d.counts["callouts_sent"] != d.outcomes() {
+				t.Errorf("%d RPCs are left, counted %v", d.rpcs.Count(), d.counts)
+			}
+		})
+	}
+}
+
+func TestQueriesSplitAnywhereAreAnsweredInOrder(t *testing.T) {
+	m := startMember(t, leader)
+	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	all := pgwire.AppendFirst(nil, "app", "shop")
+	all = append(append(append(all, asQuery(statement("a1", "order", 5000, 0))...), asQuery("SET x = 1")...), asQuery(statement("a2", "look", 5000, 0))...)
+	for split := range len(all) {
+		conn, err := net.Dial("tcp", d.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(10 * time.Second))
+		c := &client{conn, bufio.NewReader(conn)}
+		c.Write(all[:split])
+		if split%8 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		c.Write(all[split:])
+		if a, b, e := c.answer(), c.answer(), c.answer(); a != "ok value of a1" || b != "done" || e != "ok value of a2" {
+			t.Fatalf("split at %d: %s, %s, %s", split, a, b, e)
+		}
+		c.Close()
+	}
+	if m.opened > 3 {
+		t.Errorf("%d connections were opened for RPCs that came one after the other", m.opened)
+	}
+}
+
+func TestBadInputIsAnswered(t *testing.T) {
+	m := startMember(t, leader)
+	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	c := dial(t, d.at)
+	for _, text := range []string{
+		"SELECT 1", "/* c=look,d=100 */ SELECT 'x'", "/* c=none,d=100,cluster=0 */ SELECT 'x'", "/* c=look,d=soon,cluster=0 */ SELECT 'x'",
+		"/* c=look,d=100,cluster=0 */", "/* c=look,d=100,cluster=70000 */ SELECT 'x'", "/* never ends",
+	} {
+		if got := c.ask(t, text); got != unclear {
+			t.Errorf("%q is answered by %s", text, got)
+		}
+	}
+	if got := c.ask(t, statement("a1", "order", 5000, 0)); got != "ok value of a1" || len(m.seen()) != 1 {
+		t.Errorf("after bad statements: %s, the member saw %d", got, len(m.seen()))
+	}
+	for what, bytes := range map[string][]byte{
+		"a length that cannot be": {'Q', 255, 255, 255, 255}, "another message": {'P', 0, 0, 0, 4},
+		"a text without end": {'Q', 0, 0, 0, 5, 'x'}, "a text of nothing": {'Q', 0, 0, 0, 4},
+	} {
+		c := dial(t, d.at)
+		c.Write(bytes)
+		if got := c.answer(); got != unclear+"closed" {
+			t.Errorf("%s: %s", what, got)
+		}
+	}
+}
+
+func TestClientThatLeavesFreesTheMember(t *testing.T) {
+	gone := make(chan bool, 1)
+	m := startMember(t, func(c net.Conn, q *query) bool {
+		silence(c)
+		gone <- true
+		return false
+	})
+	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	c := dial(t, d.at)
+	c.Write(asQuery(statement("a1", "order", 20000, 0)))
+	for len(m.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close()
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the call-out goes on")
+	}
+	d.stop()
+	if d.counts["rpcs_left"] != 1 || d.counts["callouts_cancelled"] != 1 {
+		t.Errorf("counted %v", d.counts)
+	}
+}
+
+func TestPlannedStopAnswersAll(t *testing.T) {
+	m := startMember(t, func(c net.Conn, q *query) bool {
+		time.Sleep(800 * time.Millisecond)
+		return leader(c, q)
+	})
+	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	held, idle := dial(t, d.at), dial(t, d.at)
+	if got := idle.ask(t, ""); got != "empty" {
+		t.Fatal(got)
+	}
+	held.Write(asQuery(statement("a1", "order", 5000, 0)))
+	for len(m.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan bool)
+	go func() {
+		d.stop()
+		close(stopped)
+	}()
+	if got := idle.answer(); got != "closed" {
+		t.Errorf("a client between RPCs hears %s", got)
+	}
+	late := dial(t, d.at) // it may still come
+	if got := late.ask(t, statement("a2", "order", 5000, 0)); got != "ok value of a2" {
+		t.Errorf("a newcomer hears %s", got)
+	}
+	if got := held.answer(); got != "ok value of a1" {
+		t.Errorf("the held RPC hears %s", got)
+	}
+	if got := held.answer(); got != "closed" {
+		t.Errorf("after its RPC the client hears %s", got)
+	}
+	<-stopped
+	if _, err := net.Dial("tcp", d.at); err == nil {
+		t.Error("the driver is still there")
+	}
+}
+
+func TestDescriptorsRunOutInOrder(t *testing.T) {
+	const limit = 40
+	m := startMember(t, leader)
+	d := start(t, "", limit, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	var clients []*client
+	for i := range 3 * limit { // more than may be connected; those that ask nothing make room
+		c := dial(t, d.at)
+		if got := c.ask(t, statement(fmt.Sprint(i), "order", 5000, 0)); got != "ok value of "+fmt.Sprint(i) {
+			t.Fatalf("client %d hears %s", i, got)
+		}
+		clients = append(clients, c)
+	}
+	d.stop()
+	if _, most := d.loop.Open(); most > limit || d.counts["clients_closed_idle"] == 0 {
+		t.Errorf("%d descriptors of %d, counted %v", most, limit, d.counts)
+	}
+	for _, c := range clients {
+		c.Close()
+	}
+}
+
+func TestSlowReadersGetAllInOrder(t *testing.T) {
+	value := strings.Repeat("v", 60000)
+	m := startMember(t, func(c net.Conn, q *query) bool {
+		c.Write(pgwire.AppendReady(note(rows(field(q.text, "id")+value), "leader")))
+		return true
+	})
+	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	slow, quick := dial(t, d.at), dial(t, d.at)
+	const queries = 200 // 12 MB: more than the sockets take
+	for i := range queries {
+		slow.Write(asQuery(statement(fmt.Sprint(i), "look", 20000, 0)))
+	}
+	for i := range 20 {
+		if got := quick.ask(t, statement(fmt.Sprint("q", i), "order", 5000, 0)); got != "ok q"+fmt.Sprint(i)+value {
+			t.Fatalf("the quick client hears %.40s", got)
+		}
+	}
+	for i := range queries {
+		if got := slow.answer(); got != "ok "+fmt.Sprint(i)+value {
+			t.Fatalf("answer %d is %.40s", i, got)
+		}
+	}
+}
+
+// discovery answers each call with the next text; the last one is given only once, then it is silent.
+func startDiscovery(t *testing.T, answers chan string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if line != "\r\n" {
+						continue
+					}
+					body := <-answers
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", body[:4], len(body)-4, body[4:])
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestListChangesAreFollowed(t *testing.T) {
+	first, second := startMember(t, leader), startMember(t, leader)
+	answers := make(chan string)
+	d := start(t, startDiscovery(t, answers), 100, listOf(1, true, target(1, 0, first.listener.Addr(), "in_service")))
+	c := dial(t, d.at)
+	ask := func(id, want string) {
+		t.Helper()
+		if got := c.ask(t, statement(id, "order", 400, 0)); got != want {
+			t.Fatalf("%s: the client hears %s", id, got)
+		}
+	}
+	change := func(texts ...string) { // the next call shows that the one before has been read
+		for _, text := range texts {
+			answers <- text
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ask("a1", "ok value of a1")
+	change(listOf(2, false), listOf(3, false, target(1, 0, second.listener.Addr(), "in_service"))) // it has moved
+	ask("a2", "ok value of a2")
+	if len(first.seen()) != 1 || len(second.seen()) != 1 {
+		t.Fatalf("%d and %d call-outs", len(first.seen()), len(second.seen()))
+	}
+	change(listOf(4, false, target(1, 0, second.listener.Addr(), "terminating")))
+	ask("a3", pushedBack)
+	change(`{"rev":"broken"}`) // a failed call: the last list holds
+	ask("a4", pushedBack)
+	change(listOf(5, true, target(2, 0, first.listener.Addr(), "in_service")))
+	ask("a5", "ok value of a5")
+	if len(second.seen()) != 1 {
+		t.Errorf("%d call-outs reached a member that drains", len(second.seen())-1)
+	}
+}
+
+func TestSiteMistakesAreNamed(t *testing.T) {
+	good := `{"name":"n0","listen":"127.0.0.1:6543","discovery":"127.0.0.1:8500","seed":"8c","limits":{"memory_mb":1,"sockets":40},"settings":` + settings + `}`
+	for change, want := range map[string]string{
+		`"listen":"127.0.0.1:6543">"listen":"here"`: "listen", `"seed":"8c">"seed":"me"`: "seed", `"sockets":40>"sockets":0`: "sockets",
+		`"discovery":>"other":`: "discovery", `"classes">"others"`: "methods", `{"name">"name"`: "site.json", `"tick_us">"tock"`: "tick",
+	} {
+		old, new, _ := strings.Cut(change, ">")
+		file := filepath.Join(t.TempDir(), "site.json")
+		os.WriteFile(file, []byte(strings.Replace(good, old, new, 1)), 0o600)
+		_, err := ReadSite(file, func(string) string { return "" })
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", change, err)
+		}
+	}
+	if !json.Valid([]byte(good)) {
+		t.Error("the unchanged text is broken")
+	}
+}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -82,8 +82,8 @@
 		}
 		s.Peers = append(s.Peers, peer)
 	}
-	if s.Descriptors <= 0 {
-		s.Descriptors = 1024
+	if s.Descriptors <= 0 || s.Memory <= 0 {
+		return nil, fmt.Errorf("%s: limits give no sockets or no memory_mb", file)
 	}
 	for _, name := range []string{"methods.count", "methods.0.name", "family_info.needs", "tick"} {
 		if s.Terms[name] == "" {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -17,7 +17,7 @@
 )
 
 // Most is the longest message that is read: a value of 64 KiB, written in hex within a statement.
-const Most = 256 << 10
+const Most = 144 << 10
 
 // ErrLength tells of a message whose length cannot be.
 var ErrLength = errors.New("impossible length of a message")
@@ -54,7 +54,7 @@
 
 // Text cuts the zero byte from the end of a query's body; ok is false where there is none or one too many.
 func Text(body []byte) (text []byte, ok bool) {
-	if n := bytes.IndexByte(body, 0); n != len(body)-1 {
+	if n := bytes.IndexByte(body, 0); n < 0 || n != len(body)-1 {
 		return nil, false
 	}
 	return body[:len(body)-1], true
