--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -102,19 +102,37 @@
 		m.mutex.Lock()
 		m.queries = append(m.queries, q)
 		m.mutex.Unlock()
-		open := m.act(c, q)
-		if !open {
-			c.Close()
-		}
-		m.mutex.Lock()
-		q.ended = time.Now()
-		m.mutex.Unlock()
-		if !open {
+		answering := &stamped{c, m, q}
+		if !m.act(answering, q) {
+			answering.Close()
 			return
 		}
 	}
 }
 
+// stamped notes when a member was done with a query: before the driver can know of it.
+type stamped struct {
+	net.Conn
+	member *member
+	query  *query
+}
+
+func (s *stamped) stamp() {
+	s.member.mutex.Lock()
+	s.query.ended = time.Now()
+	s.member.mutex.Unlock()
+}
+
+func (s *stamped) Write(text []byte) (int, error) {
+	s.stamp()
+	return s.Conn.Write(text)
+}
+
+func (s *stamped) Close() error {
+	s.stamp()
+	return s.Conn.Close()
+}
+
 func (m *member) seen() []*query {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
