All descriptors that are open at the start count against the limit

Checked by listing what a fresh driver holds: the runtime keeps two files of its control group open, and some were handed down by whoever started it; the constant of 8 (loop.go, owned) knew neither. Ruled out: accepting past the room, which the test of newcomers covers. The loop now counts what is open and refuses a limit that leaves nothing.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -277,7 +277,7 @@
 		return
 	}
 	c.stream.Skip(c.size)
-	if f.leaving && len(c.stream.Unread()) == 0 {
+	if f.leaving && len(c.stream.Unread()) == 0 && c.stream.Alive() {
 		c.close()
 		return
 	}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -175,7 +175,7 @@
 			Group    driver.Group `json:"pod_group"`
 			State    string
 			Size     float64 `json:"capacity_hint"`
-			Started  int64   `json:"boot_ms"`
+			Started  float64 `json:"boot_ms"`
 			Role     string
 		}
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -3,7 +3,9 @@
 package loop
 
 import (
+	"fmt"
 	"log"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -34,16 +36,13 @@
 	larger        int       // bytes that read buffers take past the common size
 	budget        int       // the most of them
 	starved       []*Stream // which wait for some of them
-	most, highest int       // descriptors: that may be held, that ever were
+	held          int       // descriptors from before
+	most, highest int       // more of them: that may be held, that ever were
 	freed         []func()  // called when a descriptor is free again
 	// MakeRoom closes something that is idle; it tells whether it found anything.
 	MakeRoom func() bool
 }
 
-// owned are the descriptors that the runtime and the loop itself hold: three standard ones, the loop's two,
-// the runtime's own poll and its bell, and one in hand.
-const owned = 8
-
 // New makes a loop that holds no more descriptors than most, and no more bytes of long messages than budget.
 func New(most, budget int) (*Loop, error) {
 	poll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
@@ -54,7 +53,16 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Loop{poll: poll, bell: bell, began: time.Now(), most: most - owned, budget: budget}
+	// What is open already counts too: the runtime holds some for itself and others were handed down. The one
+	// through which they are counted leaves room for one in hand.
+	held, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return nil, err
+	}
+	if most <= len(held) {
+		return nil, fmt.Errorf("%d descriptors are too few: %d are open already", most, len(held))
+	}
+	l := &Loop{poll: poll, bell: bell, began: time.Now(), held: len(held), most: most - len(held), budget: budget}
 	l.MakeRoom = func() bool { return false }
 	l.zero = time.Duration(l.began.UnixNano())
 	l.now = l.clock()
@@ -138,7 +146,7 @@
 }
 
 // Open counts the descriptors that are held, and the most that ever were.
-func (l *Loop) Open() (now, most int) { return l.sources.Count() + owned, l.highest + owned }
+func (l *Loop) Open() (now, most int) { return l.sources.Count() + l.held, l.highest + l.held }
 
 func (l *Loop) add(fd int, s source, events uint32) (slots.Handle, error) {
 	h := l.sources.Put(s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 func New(site *Site) (*Node, error) {
 	l, err := loop.New(site.Descriptors, int(site.Memory/buffers))
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("limits: %w", err)
 	}
 	t := terms.New(site.Terms)
 	n := &Node{
@@ -266,8 +266,8 @@
 		}
 	}
 	q.out--
+	defer n.drop(id, q)
 	n.module.Ended(id, call, from, how, took, q.answered, pos, role, report)
-	n.drop(id, q)
 }
 
 // Probed brings the result of a probe.
--- a/internal/terms/words.go
+++ b/internal/terms/words.go
@@ -47,7 +47,7 @@
 	for line := range strings.Lines(text) {
 		name, value, found := strings.Cut(strings.TrimRight(line, "\r\n"), "=")
 		if found {
-			pairs[rename(name, ".")] = rename(value, ",")
+			put(pairs, name, value)
 		}
 	}
 	return pairs
@@ -69,19 +69,29 @@
 			flatten(pairs, strings.TrimPrefix(path+"."+name, "."), item)
 		}
 	case []any:
-		texts := make([]string, len(v))
+		var texts []string
 		for i, item := range v {
 			if _, nested := item.(map[string]any); nested {
-				pairs[rename(path, ".")+".count"] = strconv.Itoa(len(v))
+				put(pairs, path+".count", strconv.Itoa(len(v)))
 				flatten(pairs, path+"."+strconv.Itoa(i), item)
-				continue
+			} else {
+				texts = append(texts, plain(item))
 			}
-			texts[i] = plain(item)
 		}
-		pairs[rename(path, ".")] = rename(strings.Join(texts, ","), ",")
+		if len(texts) == len(v) {
+			put(pairs, path, strings.Join(texts, ","))
+		}
 	default:
-		pairs[rename(path, ".")] = rename(plain(v), ",")
+		put(pairs, path, plain(v))
+	}
+}
+
+// put renames all but what somebody chose as a name.
+func put(pairs map[string]string, path, value string) {
+	if path = rename(path, "."); !strings.HasSuffix(path, ".name") {
+		value = rename(value, ",")
 	}
+	pairs[path] = value
 }
 
 func plain(value any) string {
