Clients take half of the descriptors, and none is closed before it has asked

Checked in the report and the log: call-outs found no descriptor, members were set aside for it, and connections were ended that held an unread query. To blame: Front.CloseIdle took newcomers for idle, Listener.ready took every descriptor that came free. On the ordinary limit of 1,024 about 130 are used and nothing changes.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -44,6 +44,7 @@
 	size    int  // bytes of the message that asked for it
 	text    int  // where the statement starts in the message
 	budget  [2]int
+	asked   bool
 	idle    time.Duration // since when nothing is asked
 }
 
@@ -55,7 +56,7 @@
 		f.sessions[driver.Method(i)] = sessions[i]
 	}
 	var err error
-	f.listener, err = l.Listen(at, pgwire.Most+1, f.accept)
+	f.listener, err = l.Listen(at, pgwire.Most+1, f.accept, f.yield)
 	return f, err
 }
 
@@ -203,7 +204,7 @@
 		wrote = max(1, f.loop.Now()-time.Duration(commit)*time.Millisecond)
 	}
 	until := f.loop.Earliest() + time.Duration(millis)*time.Millisecond
-	c.serving, c.asking, c.size, c.text = true, true, size, 5
+	c.serving, c.asking, c.asked, c.size, c.text = true, true, true, size, 5
 	c.rpc = f.host.Take(c.handle, number, driver.Group(in), session, until, wrote, repeat)
 	if c.asking = false; c.serving {
 		return 0
@@ -295,11 +296,20 @@
 	c.front.clients.Drop(c.handle)
 }
 
-// Idle finds the client that has asked nothing for longest, and how to end its connection.
+func (f *Front) yield() bool {
+	_, end := f.Idle()
+	if end != nil {
+		end()
+	}
+	return end != nil
+}
+
+// Idle finds the client that has asked nothing for longest, and how to end its connection. One that has never
+// asked may have a query on its way that nobody would send again.
 func (f *Front) Idle() (since time.Duration, end func()) {
 	var oldest *client
 	f.clients.Each(func(_ slots.Handle, c *client) {
-		if (oldest == nil || c.idle < oldest.idle) && c.quiet() {
+		if c.asked && (oldest == nil || c.idle < oldest.idle) && c.quiet() {
 			oldest = c
 		}
 	})
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -30,6 +30,7 @@
 	fd      int
 	handle  slots.Handle
 	owner   Owner
+	from    *Listener // that took it in, if any
 	opening bool
 	full    bool // reading rests, since the buffer is full
 	starved bool // reading rests, since all buffers together are full
@@ -106,6 +107,10 @@
 	if s.closed {
 		return
 	}
+	if s.from != nil && events&unix.EPOLLRDHUP != 0 { // who came and left waits for nothing, whatever was said
+		s.fail(io.EOF)
+		return
+	}
 	if events&unix.EPOLLIN != 0 && !s.full && !s.starved {
 		s.read()
 	} else if events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
@@ -306,6 +311,9 @@
 	}
 	s.closed = true
 	s.release()
+	if s.from != nil {
+		s.from.open--
+	}
 	s.loop.drop(s.fd, s.handle)
 }
 
@@ -324,11 +332,15 @@
 	handle slots.Handle
 	most   int
 	accept func(open func(Owner) *Stream)
+	yield  func() bool
+	open   int // streams that came in here
 	paused bool
 }
 
-// Listen waits for connections at the address. Accept is called for each and names its owner.
-func (l *Loop) Listen(at netip.AddrPort, most int, accept func(open func(Owner) *Stream)) (*Listener, error) {
+// Listen waits for connections at the address. Accept is called for each and names its owner. They take no
+// more than half of the descriptors, as what they want needs others; past that yield must close one of them.
+func (l *Loop) Listen(at netip.AddrPort, most int, accept func(open func(Owner) *Stream),
+	yield func() bool) (*Listener, error) {
 	address, family := sockaddr(at)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -338,7 +350,7 @@
 	if err = unix.Bind(fd, address); err == nil {
 		err = unix.Listen(fd, 1024)
 	}
-	n := &Listener{loop: l, fd: fd, most: most, accept: accept}
+	n := &Listener{loop: l, fd: fd, most: most, accept: accept, yield: yield}
 	if err == nil {
 		n.handle, err = l.add(fd, n, unix.EPOLLIN)
 	}
@@ -354,7 +366,7 @@
 
 func (n *Listener) ready(uint32) {
 	for range acceptsATurn {
-		if !n.loop.room() {
+		if n.open >= n.loop.most/2 && !n.yield() || !n.loop.room() {
 			n.pause()
 			return
 		}
@@ -372,6 +384,8 @@
 			if err != nil {
 				return nil
 			}
+			s.from = n
+			n.open++
 			return s
 		})
 	}
