An RPC's time counts from when the kernel got its last byte

To blame: clients.go counted from the turn before the read. The kernel tells how old the newest input is; that covers newcomers that wait, halts of this driver, and slow turns alike, and is nearer than the turn before. A test lets an RPC wait in the kernel past its time.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -33,19 +33,20 @@
 }
 
 type client struct {
-	front   *Front
-	handle  slots.Handle
-	stream  *loop.Stream
-	started bool
-	gone    bool
-	rpc     driver.RPC // that is being served
-	serving bool
-	asking  bool // the host is being asked to take it
-	size    int  // bytes of the message that asked for it
-	text    int  // where the statement starts in the message
-	budget  [2]int
-	asked   bool
-	idle    time.Duration // since when nothing is asked
+	front    *Front
+	handle   slots.Handle
+	stream   *loop.Stream
+	started  bool
+	gone     bool
+	rpc      driver.RPC // that is being served
+	serving  bool
+	asking   bool // the host is being asked to take it
+	size     int  // bytes of the message that asked for it
+	text     int  // where the statement starts in the message
+	budget   [2]int
+	asked    bool
+	answered time.Duration // when it last was
+	idle     time.Duration // since when nothing is asked
 }
 
 // Listen starts to take clients in. The methods are named in their order.
@@ -203,7 +204,8 @@
 	if commit, err := strconv.ParseInt(string(after), 10, 64); err == nil && commit > 0 {
 		wrote = max(1, f.loop.Now()-time.Duration(commit)*time.Millisecond)
 	}
-	until := f.loop.Earliest() + time.Duration(millis)*time.Millisecond
+	// Its time counts from its last byte, but not while an earlier one is answered.
+	until := max(f.loop.Now()-c.stream.Age(), c.answered) + time.Duration(millis)*time.Millisecond
 	c.serving, c.asking, c.asked, c.size, c.text = true, true, true, size, 5
 	c.rpc = f.host.Take(c.handle, number, driver.Group(in), session, until, wrote, repeat)
 	if c.asking = false; c.serving {
@@ -272,7 +274,7 @@
 	if c == nil || !c.serving {
 		return
 	}
-	c.serving, c.idle = false, f.loop.Now()
+	c.serving, c.idle, c.answered = false, f.loop.Now(), f.loop.Now()
 	c.stream.Send(parts...)
 	if c.asking {
 		return
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -66,7 +66,6 @@
 	l.MakeRoom = func() bool { return false }
 	l.zero = time.Duration(l.began.UnixNano())
 	l.now = l.clock()
-	l.earlier = l.now
 	event := unix.EpollEvent{Events: unix.EPOLLIN}
 	return l, unix.EpollCtl(poll, unix.EPOLL_CTL_ADD, bell, &event)
 }
@@ -77,9 +76,6 @@
 // Now is the time of this turn: all that happens in one turn happens at once.
 func (l *Loop) Now() time.Duration { return l.now }
 
-// Earliest is the time since which what is served now may have been waiting: the turn before.
-func (l *Loop) Earliest() time.Duration { return l.earlier }
-
 // At calls once the time has come, in this turn if it has come already, but never at once.
 func (l *Loop) At(at time.Duration, act func()) { l.dues.Push(at, act) }
 
@@ -106,7 +102,7 @@
 		if err != nil && err != unix.EINTR {
 			return err
 		}
-		l.earlier, l.now = l.now, l.clock()
+		l.now = l.clock()
 		for _, e := range l.events[:max(n, 0)] {
 			if s := l.sources.Get(slots.Handle(e.Fd)); s != nil {
 				l.guard(func() { s.ready(e.Events) }, s.broken)
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -286,6 +286,15 @@
 	s.Look() // an owner may have waited for this with more input
 }
 
+// Age tells how long ago the last of the input came, which may have waited here or to be taken in.
+func (s *Stream) Age() time.Duration {
+	info, err := unix.GetsockoptTCPInfo(s.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // Alive looks whether the other side has closed the stream or said something that was not read yet.
 func (s *Stream) Alive() bool {
 	var one [1]byte
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -686,6 +686,28 @@
 	}
 }
 
+// What waited in the kernel, as while newcomers wait for a descriptor, has that much less time left.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	m := startMember(t, leader)
+	n := build(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")), settings)
+	short, long := dial(t, n.site.Listen.String()), dial(t, n.site.Listen.String())
+	short.Write(asQuery(statement("a1", "order", 400, 0)))
+	long.Write(asQuery(statement("a2", "order", 9000, 0)))
+	time.Sleep(600 * time.Millisecond)
+	run(t, n)
+	if got := short.answer(); got != pushedBack {
+		t.Errorf("an RPC whose time was over hears %s", got)
+	}
+	if got := long.answer(); got != "ok value of a2" {
+		t.Errorf("an RPC with time left hears %s", got)
+	}
+	for _, q := range m.seen() {
+		if left, _ := strconv.Atoi(field(q.text, "d")); field(q.text, "id") != "a2" || left > 8450 {
+			t.Errorf("the member was sent %q", q.text)
+		}
+	}
+}
+
 func TestSlowReadersGetAllInOrder(t *testing.T) {
 	value := strings.Repeat("v", 60000)
 	m := startMember(t, func(c net.Conn, q *query) bool {
