--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -289,38 +289,21 @@
 
 // quiet tells of a client that asks nothing and has nothing to hear.
 func (c *client) quiet() bool {
-	return !c.serving && len(c.stream.Unread()) == 0 && c.stream.Unsent() == 0 && c.stream.Alive()
+	return !c.serving && !c.gone && len(c.stream.Unread()) == 0 && c.stream.Unsent() == 0 && c.stream.Alive()
 }
 
-func (c *client) drop() {
-	c.gone = true
-	c.stream.Close()
-	c.front.clients.Drop(c.handle)
-}
-
-func (f *Front) yield() bool {
-	_, end := f.Idle()
-	if end != nil {
-		end()
-	}
-	return end != nil
-}
-
-// Idle finds the client that has asked nothing for longest, and how to end its connection. One that has never
-// asked may have a query on its way that nobody would send again.
-func (f *Front) Idle() (since time.Duration, end func()) {
+// yield ends the connection that has asked nothing for longest. One that has never asked may have a query on
+// its way that nobody would send again.
+func (f *Front) yield() {
 	var oldest *client
 	f.clients.Each(func(_ slots.Handle, c *client) {
 		if c.asked && (oldest == nil || c.idle < oldest.idle) && c.quiet() {
 			oldest = c
 		}
 	})
-	if oldest == nil {
-		return 0, nil
-	}
-	return oldest.idle, func() {
+	if oldest != nil {
 		f.host.Count("clients_closed_idle")
-		oldest.drop()
+		oldest.close()
 	}
 }
 
@@ -329,7 +312,7 @@
 	f.leaving = true
 	f.clients.Each(func(_ slots.Handle, c *client) {
 		if c.started && c.quiet() {
-			c.drop()
+			c.close()
 		}
 	})
 }
@@ -340,8 +323,11 @@
 // Sweep ends what asks nothing, and what has not moved for so long. It counts the clients that remain.
 func (f *Front) Sweep(patience time.Duration) int {
 	f.clients.Each(func(_ slots.Handle, c *client) {
-		if !c.serving && (c.quiet() || f.loop.Now()-c.idle > patience) {
-			c.drop()
+		if c.quiet() {
+			c.close()
+		} else if !c.serving && f.loop.Now()-c.idle > patience {
+			c.stream.Close()
+			f.clients.Drop(c.handle)
 		}
 	})
 	return f.clients.Count()
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -278,8 +278,7 @@
 		s.out = nil
 	}
 	if s.last {
-		s.Close()
-		s.owner.Closed(nil)
+		s.goodbye()
 		return
 	}
 	s.update()
@@ -302,17 +301,25 @@
 	return !s.closed && err == unix.EAGAIN
 }
 
-// CloseWhenSent ends the stream once all is written; the owner is then told, with no cause.
+// linger is how long the other side may take to see the end of a stream.
+const linger = 300 * time.Millisecond
+
+// CloseWhenSent says goodbye once all is written; the owner is told when the other side has seen it. Input that
+// crosses it is still shown: closing at once would answer that with a reset, which can overtake what was said.
 func (s *Stream) CloseWhenSent() {
-	if s.closed {
-		return
-	}
-	if s.last = true; s.Unsent() == 0 {
-		s.Close()
-		s.loop.Later(func() { s.owner.Closed(nil) })
+	if !s.last && !s.closed {
+		if s.last = true; s.Unsent() == 0 {
+			s.goodbye()
+		}
 	}
 }
 
+func (s *Stream) goodbye() {
+	s.update()
+	unix.Shutdown(s.fd, unix.SHUT_WR)
+	s.loop.At(s.loop.now+linger, func() { s.fail(nil) })
+}
+
 // Close ends the stream at once; the owner is not told.
 func (s *Stream) Close() {
 	if s.closed {
@@ -341,15 +348,15 @@
 	handle slots.Handle
 	most   int
 	accept func(open func(Owner) *Stream)
-	yield  func() bool
+	yield  func()
 	open   int // streams that came in here
 	paused bool
 }
 
 // Listen waits for connections at the address. Accept is called for each and names its owner. They take no
-// more than half of the descriptors, as what they want needs others; past that yield must close one of them.
+// more than half of the descriptors, as what they want needs others; past that yield should end one of them.
 func (l *Loop) Listen(at netip.AddrPort, most int, accept func(open func(Owner) *Stream),
-	yield func() bool) (*Listener, error) {
+	yield func()) (*Listener, error) {
 	address, family := sockaddr(at)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
@@ -375,7 +382,12 @@
 
 func (n *Listener) ready(uint32) {
 	for range acceptsATurn {
-		if n.open >= n.loop.most/2 && !n.yield() || !n.loop.room() {
+		if n.open >= n.loop.most/2 {
+			n.yield()
+			n.pause()
+			return
+		}
+		if !n.loop.room() {
 			n.pause()
 			return
 		}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -498,8 +498,8 @@
 	}
 }
 
-// Idle finds the connection that was idle for longest, and how to end it.
-func (p *Pool) Idle() (since time.Duration, end func()) {
+// MakeRoom ends the connection that was idle for longest; it tells whether there was one.
+func (p *Pool) MakeRoom() bool {
 	var oldest *conn
 	for _, m := range p.members {
 		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since) {
@@ -507,12 +507,11 @@
 		}
 	}
 	if oldest == nil {
-		return 0, nil
-	}
-	return oldest.since, func() {
-		p.host.Count("members_closed_idle")
-		oldest.drop()
+		return false
 	}
+	p.host.Count("members_closed_idle")
+	oldest.drop()
+	return true
 }
 
 // Open counts the connections, Out the call-outs that have no outcome yet.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,9 +67,9 @@
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
 		tick: t.Span("tick"),
 	}
-	l.MakeRoom = n.makeRoom
 	n.pool = members.New(l, n, site.span("caps.connect_timeout", 250*time.Millisecond),
 		site.span("caps.idle_close", time.Hour), site.columns(), terms.Word)
+	l.MakeRoom = n.pool.MakeRoom
 	n.list = list.New(l, n, site.Discovery)
 	if site.PeerListen.IsValid() {
 		n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, func(from driver.Peer, text []byte) {
@@ -141,19 +141,6 @@
 	return errors.Join(err, n.fault)
 }
 
-// makeRoom closes the connection that was idle for longest.
-func (n *Node) makeRoom() bool {
-	memberSince, end := n.pool.Idle()
-	if clientSince, endClient := n.front.Idle(); end == nil || endClient != nil && clientSince < memberSince {
-		end = endClient
-	}
-	if end == nil {
-		return false
-	}
-	end()
-	return true
-}
-
 func (n *Node) leave() {
 	if n.leaving {
 		return
