Nothing is read after the goodbye to a client

Found by logging each end and each input after it: the query had come between the look at an idle connection and its end, and was then read and thrown away (stream.go, ready; clients.go, Input). Read counts as taken; unread, its client sends it again. Ruled out before: a reset that overtakes the end, and the short limit on idle time. The test lets input cross a goodbye.

--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // echo gives back what it is sent; a text that starts with '!' makes it panic.
@@ -92,6 +94,34 @@
 	says(t, other, "after")
 }
 
+// What crosses a goodbye must not be read, or it would pass for taken.
+func TestWhatCrossesAGoodbyeIsLeftUnread(t *testing.T) {
+	l, err := New(1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := new(echo)
+	if e.stream, err = l.stream(ends[0], e, 64<<10, false); err != nil {
+		t.Fatal(err)
+	}
+	unix.Write(ends[1], []byte("!crosses"))
+	e.stream.Send([]byte("last words"))
+	e.stream.CloseWhenSent()
+	l.At(l.Now()+50*time.Millisecond, func() { unix.Close(ends[1]) })
+	l.At(l.Now()+100*time.Millisecond, l.Stop)
+	got := make([]byte, 99)
+	if n, err := unix.Read(ends[1], got); err != nil || string(got[:n]) != "last words" {
+		t.Fatalf("%q, %v", got[:n], err)
+	}
+	if err := l.Run(func() {}); err != nil || e.panicked || !e.stream.closed {
+		t.Fatalf("read %t, closed %t, %v", e.panicked, e.stream.closed, err)
+	}
+}
+
 func TestSlowReaderSlowsOnlyItself(t *testing.T) {
 	_, at, _ := run(t, 100, 1<<20, false)
 	slow, other := dial(t, at), dial(t, at)
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -81,7 +81,7 @@
 
 func (s *Stream) interest() uint32 {
 	events := uint32(unix.EPOLLRDHUP)
-	if !s.full && !s.starved && !s.opening {
+	if !s.full && !s.starved && !s.opening && !s.last {
 		events |= unix.EPOLLIN
 	}
 	if s.opening || s.Unsent() > 0 {
@@ -111,7 +111,7 @@
 		s.fail(io.EOF)
 		return
 	}
-	if events&unix.EPOLLIN != 0 && !s.full && !s.starved {
+	if events&unix.EPOLLIN != 0 && !s.full && !s.starved && !s.last {
 		s.read()
 	} else if events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		s.fail(io.EOF)
@@ -277,11 +277,11 @@
 	if s.out = s.out[:0]; cap(s.out) > common {
 		s.out = nil
 	}
+	s.update()
 	if s.last {
 		s.goodbye()
 		return
 	}
-	s.update()
 	s.Look() // an owner may have waited for this with more input
 }
 
@@ -304,18 +304,21 @@
 // linger is how long the other side may take to see the end of a stream.
 const linger = 300 * time.Millisecond
 
-// CloseWhenSent says goodbye once all is written; the owner is told when the other side has seen it. Input that
-// crosses it is still shown: closing at once would answer that with a reset, which can overtake what was said.
+// CloseWhenSent says goodbye once all is written; the owner is told when the other side has seen it. Nothing more
+// is read: what crosses the goodbye was not taken, and the other side can tell that. To close at once would
+// answer it with a reset, which can overtake what was said.
 func (s *Stream) CloseWhenSent() {
-	if !s.last && !s.closed {
-		if s.last = true; s.Unsent() == 0 {
-			s.goodbye()
-		}
+	if s.last || s.closed {
+		return
+	}
+	s.last = true
+	s.update()
+	if s.Unsent() == 0 {
+		s.goodbye()
 	}
 }
 
 func (s *Stream) goodbye() {
-	s.update()
 	unix.Shutdown(s.fd, unix.SHUT_WR)
 	s.loop.At(s.loop.now+linger, func() { s.fail(nil) })
 }
