An answer of discovery that ends with its connection is read

Found by reading the code, then shown by a test: a stream gave its buffer back before its owner was told of the end (stream.go, Close), so a list sent without a length was lost and counted as a failed call.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -12,10 +12,13 @@
 	"passtack/internal/node"
 )
 
-type serve struct {
-	Site string `help:"What this driver is told at its start, as JSON." env:"BALANCER_CONFIG" type:"existingfile" required:""`
+// place names the file that tells a driver what it needs to know at its start.
+type place struct {
+	Site string `help:"What a driver is told at its start, as JSON." env:"BALANCER_CONFIG" type:"existingfile" required:""`
 }
 
+type serve struct{ place }
+
 func (c *serve) Run() error {
 	site, err := node.ReadSite(c.Site, os.Getenv)
 	if err != nil {
@@ -28,9 +31,7 @@
 	return n.Run()
 }
 
-type check struct {
-	Site string `help:"What a driver is told at its start, as JSON." env:"BALANCER_CONFIG" type:"existingfile" required:""`
-}
+type check struct{ place }
 
 func (c *check) Run() error {
 	site, err := node.ReadSite(c.Site, os.Getenv)
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -151,9 +151,9 @@
 		return len(in)
 	case size == 0:
 		return 0
-	case code == pgwire.SSLRequest || code == pgwire.GSSRequest:
+	case code == pgwire.TLS || code == pgwire.GSS:
 		c.stream.Send([]byte{'N'})
-	case code == pgwire.CancelRequest:
+	case code == pgwire.Cancel:
 		c.close()
 	case code>>16 != pgwire.Version3>>16:
 		c.fail("0A000", "only version 3 of the protocol is spoken")
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -1,4 +1,4 @@
-// Package httpwire reads answers of HTTP/1.1 and writes requests without a body. It holds no sockets.
+// Package httpwire reads answers of HTTP/1.1 and writes calls without a body. It holds no sockets.
 package httpwire
 
 import (
--- a/internal/list/list_test.go
+++ b/internal/list/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"strings"
 	"sync"
@@ -77,6 +78,37 @@
 	}
 }
 
+// An answer without a length ends with its connection.
+func TestBodyThatEndsWithItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 999))
+			fmt.Fprint(c, "HTTP/1.0 200 OK\r\n\r\n", `{"rev":7,"all":true,"targets":[`, entry, `]}`)
+			c.Close()
+		}
+	}()
+	l, err := loop.New(1000, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := new(told)
+	d := New(l, heard, netip.MustParseAddrPort(listener.Addr().String()))
+	d.Fetch()
+	l.At(l.Now()+200*time.Millisecond, l.Stop)
+	if err := l.Run(func() {}); err != nil || d.rev != 7 || !strings.HasPrefix(heard.text.String(), "1[s-1 ") {
+		t.Fatalf("version %d, told %s, %v", d.rev, heard.text.String(), err)
+	}
+}
+
 func FuzzLists(f *testing.F) {
 	whole := `{"rev":41,"all":true,"targets":[` + entry + `,` + strings.Replace(entry, "s-1", "s-2", 1) + `]}`
 	for seed := range uint64(100) {
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -325,23 +325,28 @@
 
 // Close ends the stream at once; the owner is not told.
 func (s *Stream) Close() {
-	if s.closed {
-		return
+	if !s.closed {
+		s.end()
+		s.release()
 	}
+}
+
+func (s *Stream) end() {
 	s.closed = true
-	s.release()
 	if s.from != nil {
 		s.from.open--
 	}
 	s.loop.drop(s.fd, s.handle)
 }
 
+// fail ends the stream and tells the owner, who may still look at what it has left unread.
 func (s *Stream) fail(cause error) {
 	if s.closed {
 		return
 	}
-	s.Close()
+	s.end()
 	s.owner.Closed(cause)
+	s.release()
 }
 
 // Listener hands over each connection that comes in.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -115,10 +115,12 @@
 
 // New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor; word
 // translates the names of a load report, whose columns are given.
-func New(l *loop.Loop, host Host, connectIn, idleFor time.Duration, columns []string, word func(string) string) *Pool {
-	p := &Pool{loop: l, host: host, members: make(map[driver.Member]*member), connectIn: connectIn, columns: columns, word: word}
-	p.idleFor = idleFor - idleFor/8
-	return p
+func New(l *loop.Loop, host Host, connectIn, idleFor time.Duration, columns []string,
+	word func(string) string) *Pool {
+	return &Pool{
+		loop: l, host: host, members: make(map[driver.Member]*member), connectIn: connectIn,
+		idleFor: idleFor - idleFor/8, columns: columns, word: word,
+	}
 }
 
 // Place tells where a member listens. Connections to an earlier address are not used again.
@@ -134,7 +136,8 @@
 
 // CallOut sends the statement, whose time stands between its two parts. It ends with exactly one outcome,
 // never at once.
-func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, until time.Duration, before, after []byte) slots.Handle {
+func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, until time.Duration,
+	before, after []byte) slots.Handle {
 	now := p.loop.Now()
 	m := p.members[to]
 	c := &call{rpc: rpc, n: n, to: to, sent: now, until: until}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -20,7 +20,8 @@
 }
 
 // Listen hands on what known peers say.
-func Listen(l *loop.Loop, at, all netip.AddrPort, each []netip.AddrPort, told func(driver.Peer, []byte)) (*Peers, error) {
+func Listen(l *loop.Loop, at, all netip.AddrPort, each []netip.AddrPort,
+	told func(driver.Peer, []byte)) (*Peers, error) {
 	p := &Peers{all: all, each: each, numbers: make(map[netip.AddrPort]driver.Peer)}
 	for i, a := range each {
 		p.numbers[a] = driver.Peer(i)
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -10,10 +10,10 @@
 
 // What a first message may ask for.
 const (
-	Version3      = 3 << 16
-	CancelRequest = 80877102
-	SSLRequest    = 80877103
-	GSSRequest    = 80877104
+	Version3 = 3 << 16
+	Cancel   = 80877102
+	TLS      = 80877103
+	GSS      = 80877104
 )
 
 // Most is the longest message that is read: a value of 64 KiB, written in hex within a statement.
