A connection that was busy while its member moved is not used again; failures are logged

Found by reading the code, then shown by a test: members.go, Input kept a connection to an earlier address once its call-out was over. A call-out that fails without an answer is now logged with how far it had come, one line in 5 s a member. The listener takes in all that waits before a planned stop closes it. The tests no longer wait a set time for the list.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -29,7 +29,7 @@
 	dues          due.Queue[func()]
 	began         time.Time
 	zero          time.Duration
-	now, earlier  time.Duration
+	now           time.Duration
 	events        [512]unix.EpollEvent
 	stopped       bool
 	spare         [][]byte  // read buffers of the common size that nobody uses
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -388,25 +388,28 @@
 // acceptsATurn bounds how long newcomers keep the others waiting.
 const acceptsATurn = 64
 
-func (n *Listener) ready(uint32) {
+func (n *Listener) ready(uint32) { n.take() }
+
+// take takes newcomers in and tells whether there may be more.
+func (n *Listener) take() bool {
 	for range acceptsATurn {
 		if n.open >= n.loop.most/2 {
 			n.yield()
 			n.pause()
-			return
+			return false
 		}
 		if !n.loop.room() {
 			n.pause()
-			return
+			return false
 		}
 		fd, _, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == unix.ECONNABORTED || err == unix.EINTR {
 			continue
 		} else if err == unix.EAGAIN {
-			return
+			return false
 		} else if err != nil {
 			n.pause()
-			return
+			return false
 		}
 		n.accept(func(owner Owner) *Stream {
 			s, err := n.loop.stream(fd, owner, n.most, false)
@@ -418,6 +421,7 @@
 			return s
 		})
 	}
+	return true
 }
 
 func (n *Listener) broken(error) {}
@@ -441,7 +445,8 @@
 
 // Drain takes the connections that wait and no more after them.
 func (n *Listener) Drain() {
-	n.ready(0)
+	for n.take() {
+	}
 	n.loop.drop(n.fd, n.handle)
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"log"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -36,6 +37,8 @@
 	AnswerBegun
 )
 
+var reaches = [...]string{"not_connected", "partly_written", "wholly_written", "answer_begun"}
+
 // Failure tells how a call-out ended without an answer of the member's, and how far it had come. That alone
 // picks the outcome.
 type Failure struct {
@@ -45,7 +48,7 @@
 }
 
 func (f Failure) Error() string {
-	return fmt.Sprintf("reach=%d timed_out=%t: %v", f.Reached, f.TimedOut, f.Cause)
+	return fmt.Sprintf("reach=%s timed_out=%t cause=%q", reaches[f.Reached], f.TimedOut, f.Cause)
 }
 
 // Outcome is what the bytes that went and came prove.
@@ -59,6 +62,9 @@
 	return driver.Broken
 }
 
+// loggedEach parts the log lines on failures at one member: a few lines tell as much as all of them.
+const loggedEach = 5 * time.Second
+
 var (
 	errSlow    = errors.New("no answer in time")
 	errConnect = errors.New("the connection did not come up in time")
@@ -76,15 +82,15 @@
 	idleFor   time.Duration // a member closes what was idle for so long
 	word      func(string) string
 	columns   []string
-	primary   string
 	report    []float64
 	rows      [][]byte
 }
 
 type member struct {
-	id   driver.Member
-	at   netip.AddrPort
-	idle []*conn // newest last
+	id    driver.Member
+	at    netip.AddrPort
+	idle  []*conn       // newest last
+	quiet time.Duration // until when failures are not logged
 }
 
 // call is a call-out, or a probe where it has no statement.
@@ -101,16 +107,17 @@
 }
 
 type conn struct {
-	pool          *Pool
-	handle        slots.Handle
-	member        *member
-	stream        *loop.Stream
-	ready         bool // the member has let us in
-	call          *call
-	written       bool // the call-out was handed to the stream
-	since         time.Duration
-	begun, failed bool
-	code          string // of the error that came
+	pool    *Pool
+	handle  slots.Handle
+	member  *member
+	at      netip.AddrPort
+	stream  *loop.Stream
+	ready   bool // the member has let us in
+	call    *call
+	written bool // the call-out was handed to the stream
+	since   time.Duration
+	begun   bool
+	code    string // of the error that came
 }
 
 // New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor; word
@@ -192,7 +199,7 @@
 }
 
 func (p *Pool) connect(c *call, m *member) {
-	k := &conn{pool: p, member: m, call: c, since: p.loop.Now()}
+	k := &conn{pool: p, member: m, at: m.at, call: c, since: p.loop.Now()}
 	stream, err := p.loop.Dial(m.at, k, pgwire.Most+1)
 	if err == nil {
 		k.stream = stream
@@ -265,21 +272,23 @@
 	var room [32]byte
 	budget := strconv.AppendInt(room[8:8], left, 10)
 	head := pgwire.AppendHead(room[:0], 'Q', len(before)+len(budget)+len(after)+1)
-	k.begun, k.failed, k.code, k.written = false, false, "", true
+	k.begun, k.code, k.written = false, "", true
 	k.stream.Send(head, before, budget, after, []byte{0})
 }
 
 // ask sends the empty query.
 func (k *conn) ask() {
-	k.begun, k.failed, k.code, k.written = false, false, "", true
+	k.begun, k.code, k.written = false, "", true
 	k.stream.Send(append(pgwire.AppendHead(nil, 'Q', 1), 0))
 }
 
 func (k *conn) start() {
 	c := k.call
 	switch {
-	case c == nil:
+	case c == nil && k.at == k.member.at:
 		k.rest()
+	case c == nil:
+		k.drop()
 	case c.probe:
 		k.ask()
 	default:
@@ -374,11 +383,12 @@
 		how = driver.Failed
 	}
 	k.call, k.written, k.code = nil, false, ""
-	if at == len(in) {
+	keep := at == len(in) && k.at == k.member.at // it has not moved, nor does it say more than it was asked
+	if keep {
 		k.rest()
 	}
 	p.end(c, how, pos, role, p.report, p.rows)
-	if at < len(in) { // it says more than it was asked
+	if !keep {
 		k.drop()
 	}
 	return at
@@ -476,6 +486,10 @@
 }
 
 func (p *Pool) fail(c *call, why Failure) {
+	if m, now := p.members[c.to], p.loop.Now(); now >= m.quiet {
+		m.quiet = now + loggedEach
+		log.Printf("event=callout_failed member=%012x endpoint=%s %v", uint64(c.to), m.at, why)
+	}
 	p.end(c, why.Outcome(), 0, driver.Unknown, nil, nil)
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -732,8 +732,8 @@
 	}
 }
 
-// discovery answers each call with the next text; the last one is given only once, then it is silent.
-func startDiscovery(t *testing.T, answers chan string) string {
+// startDiscovery tells of each call and answers it with the next text.
+func startDiscovery(t *testing.T, calls chan bool, answers chan string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -755,6 +755,7 @@
 					if line != "\r\n" {
 						continue
 					}
+					calls <- true
 					body := <-answers
 					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", body[:4], len(body)-4, body[4:])
 				}
@@ -765,9 +766,14 @@
 }
 
 func TestListChangesAreFollowed(t *testing.T) {
-	first, second := startMember(t, leader), startMember(t, leader)
-	answers := make(chan string)
-	d := start(t, startDiscovery(t, answers), 100, listOf(1, true, target(1, 0, first.listener.Addr(), "in_service")))
+	first, second := startMember(t, func(c net.Conn, q *query) bool {
+		if field(q.text, "id") == "slow" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		return leader(c, q)
+	}), startMember(t, leader)
+	calls, answers := make(chan bool, 100), make(chan string)
+	d := start(t, startDiscovery(t, calls, answers), 100, listOf(1, true, target(1, 0, first.listener.Addr(), "in_service")))
 	c := dial(t, d.at)
 	ask := func(id, want string) {
 		t.Helper()
@@ -775,16 +781,25 @@
 			t.Fatalf("%s: the client hears %s", id, got)
 		}
 	}
-	change := func(texts ...string) { // the next call shows that the one before has been read
+	change := func(texts ...string) {
 		for _, text := range texts {
 			answers <- text
+			<-calls // the next one shows that this has been read
 		}
-		time.Sleep(20 * time.Millisecond)
 	}
+	<-calls
 	ask("a1", "ok value of a1")
+	slow := dial(t, d.at)
+	slow.Write(asQuery(statement("slow", "order", 5000, 0)))
+	for len(first.seen()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
 	change(listOf(2, false), listOf(3, false, target(1, 0, second.listener.Addr(), "in_service"))) // it has moved
+	if got := slow.answer(); got != "ok value of slow" {
+		t.Fatalf("an RPC that was out when its member moved hears %s", got)
+	}
 	ask("a2", "ok value of a2")
-	if len(first.seen()) != 1 || len(second.seen()) != 1 {
+	if len(first.seen()) != 2 || len(second.seen()) != 1 {
 		t.Fatalf("%d and %d call-outs", len(first.seen()), len(second.seen()))
 	}
 	change(listOf(4, false, target(1, 0, second.listener.Addr(), "terminating")))
@@ -801,9 +816,9 @@
 func TestConnectionsNearTheirIdleLimitAreNotUsed(t *testing.T) {
 	m := startMember(t, leader)
 	d := run(t, build(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")),
-		strings.Replace(settings, `"idle_close_us":15000000`, `"idle_close_us":400000`, 1)))
+		strings.Replace(settings, `"idle_close_us":15000000`, `"idle_close_us":1200000`, 1)))
 	c := dial(t, d.at)
-	for i, wait := range []time.Duration{0, 0, 500 * time.Millisecond} {
+	for i, wait := range []time.Duration{0, 0, 1300 * time.Millisecond} {
 		time.Sleep(wait)
 		if got := c.ask(t, statement(fmt.Sprint(i), "order", 5000, 0)); got != "ok value of "+fmt.Sprint(i) {
 			t.Fatalf("RPC %d: %s", i, got)
