Clients that say nothing, half of something or read nothing are let go after 2 s

A dump of the clients' states every 2 s showed why: 122 of 122 connections had sent their startup and no RPC, 0 were served, newcomers waited in the kernel. To blame: Front.yield passed over all who had never asked, and nothing else ended them; half a message and an answer that nobody reads had no due time either; Listener.take let one go only once all places were taken, and a goodbye took 0.3 s each, so at most some ten newcomers a second came in. Ruled out by the same dump: stuck RPCs (0 held), unread answers (none), a listener that was not woken (it was, each 100 ms).

Now those who wait stand in one list in order; one due time looks at the first.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -2,6 +2,7 @@
 package clients
 
 import (
+	"container/list"
 	"hash/fnv"
 	"net/netip"
 	"strconv"
@@ -29,9 +30,16 @@
 	sessions map[driver.Method]bool // methods whose quoted key names the session
 	clients  slots.Table[*client]
 	listener *loop.Listener
-	leaving  bool // connections end between RPCs
+	leaving  bool      // connections end between RPCs
+	waiting  list.List // the clients that no RPC is served for, in the order of idle
+	patrols  bool      // a look at the first of them is due
 }
 
+const (
+	patience = 2 * time.Second        // a client that says or reads nothing, or half of it, is kept so long
+	hesitant = 200 * time.Millisecond // since its start a client may take to ask, before it makes room for others
+)
+
 type client struct {
 	front    *Front
 	handle   slots.Handle
@@ -46,7 +54,10 @@
 	budget   [2]int
 	asked    bool
 	answered time.Duration // when it last was
-	idle     time.Duration // since when nothing is asked
+	idle     time.Duration // since when nothing is asked, or half of it
+	begun    bool          // half of a message has come
+	unsent   int           // bytes that it had not read when last looked at
+	place    *list.Element // in the front's waiting
 }
 
 // Listen starts to take clients in. The methods are named in their order.
@@ -62,7 +73,7 @@
 }
 
 func (f *Front) accept(open func(loop.Owner) *loop.Stream) {
-	c := &client{front: f, idle: f.loop.Now()}
+	c := &client{front: f}
 	if c.stream = open(c); c.stream == nil {
 		return
 	}
@@ -71,12 +82,67 @@
 		return
 	}
 	f.host.Count("clients_accepted")
+	f.wait(c)
+}
+
+// wait puts the client behind the others that wait, from now on.
+func (f *Front) wait(c *client) {
+	c.idle, c.begun = f.loop.Now(), false
+	if c.place == nil {
+		c.place = f.waiting.PushBack(c)
+	}
+	f.waiting.MoveToBack(c.place)
+	if !f.patrols {
+		f.patrols = true
+		f.loop.At(c.idle+patience, f.patrol)
+	}
+}
+
+func (f *Front) waitsNoMore(c *client) {
+	if c.place != nil {
+		f.waiting.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// patrol ends the connections of those who were waited for too long.
+func (f *Front) patrol() {
+	f.patrols = false
+	for e := f.waiting.Front(); e != nil; e = f.waiting.Front() {
+		c := e.Value.(*client)
+		if c.idle+patience > f.loop.Now() {
+			if !f.patrols {
+				f.patrols = true
+				f.loop.At(c.idle+patience, f.patrol)
+			}
+			return
+		}
+		f.waiting.Remove(e)
+		c.place = nil
+		switch left := c.stream.Unsent(); {
+		case left > 0 && (c.unsent == 0 || left < c.unsent): // it reads, if slowly
+			c.unsent = left
+			f.wait(c)
+		case left > 0:
+			f.host.Count("clients_stuck")
+			c.stream.Close()
+			c.Closed(nil)
+		case len(c.stream.Unread()) > 0:
+			c.fail("08P01", "half of a message came and no more")
+		case c.stream.Alive():
+			f.host.Count("clients_closed_idle")
+			c.close()
+		default: // something has come just now
+			f.wait(c)
+		}
+	}
 }
 
 func (c *client) Opened() {}
 
 func (c *client) Closed(cause error) {
 	c.front.clients.Drop(c.handle)
+	c.front.waitsNoMore(c)
 	c.gone = true
 	if c.serving {
 		c.serving = false
@@ -99,6 +165,7 @@
 // close ends the connection once what was said has been written.
 func (c *client) close() {
 	c.gone = true
+	c.front.waitsNoMore(c)
 	c.stream.CloseWhenSent()
 }
 
@@ -115,7 +182,10 @@
 	if c.serving || c.stream.Unsent() > 0 { // who does not read gets nothing more to read
 		return 0
 	}
-	c.idle = c.front.loop.Now()
+	if c.asked && !c.begun {
+		c.front.wait(c)
+	}
+	c.begun = true
 	if !c.started {
 		return c.start(in)
 	}
@@ -207,6 +277,7 @@
 	// Its time counts from its last byte, but not while an earlier one is answered.
 	until := max(f.loop.Now()-c.stream.Age(), c.answered) + time.Duration(millis)*time.Millisecond
 	c.serving, c.asking, c.asked, c.size, c.text = true, true, true, size, 5
+	f.waitsNoMore(c)
 	c.rpc = f.host.Take(c.handle, number, driver.Group(in), session, until, wrote, repeat)
 	if c.asking = false; c.serving {
 		return 0
@@ -274,7 +345,8 @@
 	if c == nil || !c.serving {
 		return
 	}
-	c.serving, c.idle, c.answered = false, f.loop.Now(), f.loop.Now()
+	c.serving, c.answered, c.unsent = false, f.loop.Now(), 0
+	f.wait(c)
 	c.stream.Send(parts...)
 	if c.asking {
 		return
@@ -292,18 +364,15 @@
 	return !c.serving && !c.gone && len(c.stream.Unread()) == 0 && c.stream.Unsent() == 0 && c.stream.Alive()
 }
 
-// yield ends the connection that has asked nothing for longest. One that has never asked may have a query on
-// its way that nobody would send again.
+// yield ends the connection that has asked nothing for longest. One that has yet to ask gets a moment: its query
+// may be on its way.
 func (f *Front) yield() {
-	var oldest *client
-	f.clients.Each(func(_ slots.Handle, c *client) {
-		if c.asked && (oldest == nil || c.idle < oldest.idle) && c.quiet() {
-			oldest = c
+	for e := f.waiting.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client); c.quiet() && (c.asked || f.loop.Now()-c.idle > hesitant) {
+			f.host.Count("clients_closed_idle")
+			c.close()
+			return
 		}
-	})
-	if oldest != nil {
-		f.host.Count("clients_closed_idle")
-		oldest.close()
 	}
 }
 
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -301,8 +301,10 @@
 	return !s.closed && err == unix.EAGAIN
 }
 
-// linger is how long the other side may take to see the end of a stream.
-const linger = 300 * time.Millisecond
+const (
+	linger = 100 * time.Millisecond // the other side may take to see the end of a stream
+	unread = 2 * time.Second        // it may take to read what comes before the end
+)
 
 // CloseWhenSent says goodbye once all is written; the owner is told when the other side has seen it. Nothing more
 // is read: what crosses the goodbye was not taken, and the other side can tell that. To close at once would
@@ -315,6 +317,8 @@
 	s.update()
 	if s.Unsent() == 0 {
 		s.goodbye()
+	} else {
+		s.loop.At(s.loop.now+unread, func() { s.fail(nil) })
 	}
 }
 
@@ -362,7 +366,7 @@
 }
 
 // Listen waits for connections at the address. Accept is called for each and names its owner. They take no
-// more than half of the descriptors, as what they want needs others; past that yield should end one of them.
+// more than half of the descriptors, as what they want needs others; near that yield should end one of them.
 func (l *Loop) Listen(at netip.AddrPort, most int, accept func(open func(Owner) *Stream),
 	yield func()) (*Listener, error) {
 	address, family := sockaddr(at)
@@ -420,6 +424,9 @@
 			n.open++
 			return s
 		})
+		if n.open > n.loop.most/2-n.loop.most/8 { // it takes a moment until the other side has seen its end
+			n.yield()
+		}
 	}
 	return true
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -686,6 +686,42 @@
 	}
 }
 
+// Clients that say nothing, half of something, or read nothing make room in the end, however many they are.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	const limit = 40
+	value := strings.Repeat("v", 60000)
+	m := startMember(t, func(c net.Conn, q *query) bool {
+		c.Write(pgwire.AppendReady(note(rows(value), "leader")))
+		return true
+	})
+	d := start(t, "", limit, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	for i, says := range []func(c *client){
+		func(c *client) {},
+		func(c *client) { c.Write(asQuery(statement("half", "look", 5000, 0))[:20]) },
+		func(c *client) {
+			for range 200 { // 12 MB that nobody reads
+				c.Write(asQuery(statement("deaf", "look", 9000, 0)))
+			}
+		},
+	} {
+		for range limit >> i {
+			says(dial(t, d.at))
+		}
+		began := time.Now()
+		if got := dial(t, d.at).ask(t, statement("last", "look", 9000, 0)); got != "ok "+value {
+			t.Errorf("behind them one hears %.40s", got)
+		} else if waited := time.Since(began); waited > 10*time.Second {
+			t.Errorf("it is heard after %v", waited)
+		}
+	}
+	quiet := dial(t, d.at)
+	quiet.ask(t, "")
+	quiet.SetDeadline(time.Now().Add(3 * time.Second))
+	if got := quiet.answer(); got != "closed" {
+		t.Errorf("who says nothing hears %s", got)
+	}
+}
+
 // What waited in the kernel, as while newcomers wait for a descriptor, has that much less time left.
 func TestTimeCountsFromTheLastByte(t *testing.T) {
 	m := startMember(t, leader)
