SIGHUP takes the file over while RPCs are served, another discovery among it

To blame: Node.Run listens to SIGTERM, SIGINT and SIGUSR1 only, and no part of the driver could change its address of discovery.

The file is read on the goroutine that waits for signals, so the loop is not held up. A discovery that differs from the file's earlier one goes over the environment, which still holds the old one. The old connection is let go without a failure and the whole list is asked for at the new address. Limits and peers are taken over too; what would need a restart is named in the log.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -64,6 +64,13 @@
 	d.ask()
 }
 
+// Move asks at another address from now on, for the whole list first. What the old one was asked is let go.
+func (d *Discovery) Move(at netip.AddrPort) {
+	d.drop()
+	d.at, d.asked = at, 0
+	d.Fetch()
+}
+
 func (d *Discovery) ask() {
 	if d.asked != 0 || !d.watching && !d.whole {
 		return
@@ -73,6 +80,9 @@
 		path = fmt.Sprintf("%s?from=%d&hold_ms=%d", list, d.rev, hold/time.Millisecond)
 		wait += hold
 	}
+	if d.stream != nil && !d.stream.Alive() { // it was closed between two calls
+		d.drop()
+	}
 	if d.stream == nil {
 		var err error
 		if d.stream, err = d.loop.Dial(d.at, d, mostOf); err != nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -62,7 +62,8 @@
 	if most <= len(held) {
 		return nil, fmt.Errorf("%d descriptors are too few: %d are open already", most, len(held))
 	}
-	l := &Loop{poll: poll, bell: bell, began: time.Now(), held: len(held), most: most - len(held), budget: budget}
+	l := &Loop{poll: poll, bell: bell, began: time.Now(), held: len(held)}
+	l.Limit(most, budget)
 	l.MakeRoom = func() bool { return false }
 	l.zero = time.Duration(l.began.UnixNano())
 	l.now = l.clock()
@@ -70,6 +71,9 @@
 	return l, unix.EpollCtl(poll, unix.EPOLL_CTL_ADD, bell, &event)
 }
 
+// Limit changes what New was told. What is held beyond it goes as it ends.
+func (l *Loop) Limit(most, budget int) { l.most, l.budget = max(most-l.held, 1), budget }
+
 // clock counts from the start of Unix time, by the clock that never goes back.
 func (l *Loop) clock() time.Duration { return l.zero + time.Since(l.began) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -107,17 +108,24 @@
 
 // Run serves until it is told to stop and has answered all that it took.
 func (n *Node) Run() error {
-	if n.site.Memory > 0 {
-		debug.SetMemoryLimit(n.site.Memory * 3 / 4)
-	}
+	debug.SetMemoryLimit(n.site.Memory * 3 / 4)
 	n.lines = logTo(os.Stderr)
 	defer n.lines.end()
 	signals := make(chan os.Signal, 8)
-	heard := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	heard := make(chan func(), 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	start := *n.site
 	go func() {
 		for s := range signals {
-			heard <- s
+			act := n.leave
+			switch s {
+			case syscall.SIGUSR1:
+				act = n.print
+			case syscall.SIGHUP: // the file is read here, where nobody waits for it
+				fresh, err := start.again()
+				act = func() { n.reload(fresh, err) }
+			}
+			heard <- act
 			n.loop.Ring()
 		}
 	}()
@@ -125,12 +133,8 @@
 	err := n.loop.Run(func() {
 		for {
 			select {
-			case s := <-heard:
-				if s == syscall.SIGUSR1 {
-					n.print()
-				} else {
-					n.leave()
-				}
+			case act := <-heard:
+				act()
 			default:
 				return
 			}
@@ -141,6 +145,37 @@
 	return errors.Join(err, n.fault)
 }
 
+// reload takes over what the file says now, as far as that needs no restart.
+func (n *Node) reload(fresh *Site, err error) {
+	if err != nil {
+		n.Count("reloads_failed")
+		log.Printf("event=reload_failed cause=%q", err)
+		return
+	}
+	n.Count("reloads")
+	s, restart := n.site, ""
+	for name, same := range map[string]bool{
+		"name": s.Name == fresh.Name, "listen": s.Listen == fresh.Listen,
+		"peer_listen": s.PeerListen == fresh.PeerListen, "settings": maps.Equal(s.Terms, fresh.Terms),
+	} {
+		if !same {
+			restart += "," + name
+		}
+	}
+	if fresh.written.IsValid() && fresh.written != s.written {
+		s.written, s.Discovery = fresh.written, fresh.Discovery
+		n.list.Move(s.Discovery)
+	}
+	s.Descriptors, s.Memory, s.Peers, s.PeerAll = fresh.Descriptors, fresh.Memory, fresh.Peers, fresh.PeerAll
+	n.loop.Limit(s.Descriptors, int(s.Memory/buffers))
+	debug.SetMemoryLimit(s.Memory * 3 / 4)
+	if n.peers != nil {
+		n.peers.Place(s.PeerAll, s.Peers)
+	}
+	log.Printf("event=reloaded discovery=%s sockets=%d memory_mb=%d needs_restart=%q", s.Discovery, s.Descriptors,
+		s.Memory>>20, strings.TrimPrefix(restart, ","))
+}
+
 func (n *Node) leave() {
 	if n.leaving {
 		return
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -849,6 +849,48 @@
 	}
 }
 
+// SIGHUP brings another address of discovery, whatever the environment said at the start; an unusable file
+// changes nothing.
+func TestReload(t *testing.T) {
+	first, second := startMember(t, leader), startMember(t, leader)
+	calls, answers := make(chan bool, 100), make(chan string, 1)
+	old := startDiscovery(t, make(chan bool, 100), make(chan string))
+	n := build(t, old, 100, listOf(1, true, target(1, 0, first.listener.Addr(), "in_service")), settings)
+	n.site.environment = func(name string) string { return map[string]string{"BALANCER_DISCOVERY": old}[name] }
+	text, err := os.ReadFile(n.site.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := run(t, n)
+	c := dial(t, d.at)
+	reload := func(text string) {
+		t.Helper()
+		os.WriteFile(n.site.file, []byte(text), 0o600)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		if got := c.ask(t, statement("a1", "order", 5000, 0)); got != "ok value of a1" {
+			t.Fatalf("under a reload one hears %s", got)
+		}
+	}
+	reload("{")
+	answers <- listOf(7, true, target(2, 0, second.listener.Addr(), "in_service"))
+	reload(strings.Replace(string(text), old, startDiscovery(t, calls, answers), 1))
+	for range 2 { // the list and the watch behind it
+		select {
+		case <-calls:
+		case <-time.After(4 * time.Second):
+			t.Fatal("the new discovery is not asked")
+		}
+	}
+	before := len(first.seen())
+	if got := c.ask(t, statement("a2", "order", 5000, 0)); got != "ok value of a2" || len(first.seen()) != before {
+		t.Errorf("after the reload one hears %s", got)
+	}
+	d.stop()
+	if d.counts["reloads"] != 1 || d.counts["reloads_failed"] != 1 || d.counts["list_failures"] != 0 {
+		t.Errorf("counted %v", d.counts)
+	}
+}
+
 func TestConnectionsNearTheirIdleLimitAreNotUsed(t *testing.T) {
 	m := startMember(t, leader)
 	d := run(t, build(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")),
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -24,6 +24,10 @@
 	Memory              int64 // bytes
 	Known               []byte
 	Terms               map[string]string
+
+	file        string
+	environment func(string) string
+	written     netip.AddrPort // discovery as the file has it
 }
 
 // ReadSite reads the file, over which the environment goes.
@@ -51,7 +55,7 @@
 	}
 	s := &Site{
 		Name: told.Name, Known: told.Known, Terms: terms.Nested(told.Settings),
-		Descriptors: told.Limits.Sockets, Memory: told.Limits.Memory << 20,
+		Descriptors: told.Limits.Sockets, Memory: told.Limits.Memory << 20, file: file, environment: environment,
 	}
 	over := func(name, otherwise string) string {
 		if value := environment(name); value != "" {
@@ -69,6 +73,9 @@
 	if s.Discovery, err = place(file, "discovery", over("BALANCER_DISCOVERY", told.Discovery), false); err != nil {
 		return nil, err
 	}
+	if s.written, err = place(file, "discovery", told.Discovery, true); err != nil {
+		return nil, err
+	}
 	if s.PeerListen, err = place(file, "peer_listen", told.PeerListen, true); err != nil {
 		return nil, err
 	}
@@ -93,6 +100,16 @@
 	return s, nil
 }
 
+// again reads the file once more. Where the file names another discovery than before, that is newer than what
+// the environment says, which stays as it was at the start.
+func (s *Site) again() (*Site, error) {
+	fresh, err := ReadSite(s.file, s.environment)
+	if err == nil && fresh.written.IsValid() {
+		fresh.Discovery = fresh.written
+	}
+	return fresh, err
+}
+
 func place(file, name, text string, optional bool) (at netip.AddrPort, err error) {
 	if text == "" && optional {
 		return at, nil
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -22,10 +22,8 @@
 // Listen hands on what known peers say.
 func Listen(l *loop.Loop, at, all netip.AddrPort, each []netip.AddrPort,
 	told func(driver.Peer, []byte)) (*Peers, error) {
-	p := &Peers{all: all, each: each, numbers: make(map[netip.AddrPort]driver.Peer)}
-	for i, a := range each {
-		p.numbers[a] = driver.Peer(i)
-	}
+	p := new(Peers)
+	p.Place(all, each)
 	var err error
 	p.socket, err = l.Receive(at, func(from netip.AddrPort, text []byte) {
 		if number, ok := p.numbers[from]; ok && len(text) <= Most {
@@ -35,6 +33,14 @@
 	return p, err
 }
 
+// Place tells where the others are from now on.
+func (p *Peers) Place(all netip.AddrPort, each []netip.AddrPort) {
+	p.all, p.each, p.numbers = all, each, make(map[netip.AddrPort]driver.Peer)
+	for i, a := range each {
+		p.numbers[a] = driver.Peer(i)
+	}
+}
+
 // Tell sends to one peer or to all; what is too long or to nobody is not sent.
 func (p *Peers) Tell(to driver.Peer, text []byte) {
 	if len(text) > Most {
