Unusable statements reach no member, spoilt answers no client; poison sets nobody aside

A trace of each failed call-out showed why: 57 RPCs had failed eight times each on two or three members (454 of 641 failures), all without an id or with the id of an open RPC. To blame: client.query took any comment; conn.Input looked at the count of columns only; Router.learn blamed a member for what had failed elsewhere before. Ruled out: garbled answers as the reason (187, hardly two in a row at one member).

Now a statement needs an id that is not being served, one of each field, a time above 0 and its method's token. What comes behind an open RPC is looked at, and ended if unreadable. Every message of an answer has to fit and stand in its place; an error read before garbage proves nothing; reports with NaN, negative or unreadable numbers and positions ahead of the clock are not believed. Ruled out by reading: position, role and report of an answer that turns out spoilt are not in use (they are handed over with the whole answer only). A write without a primary waits 0.45 of its time, so no answer comes in its second half without a call-out.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -28,6 +28,8 @@
 	host     Host
 	methods  map[string]driver.Method
 	sessions map[driver.Method]bool // methods whose quoted key names the session
+	tokened  map[driver.Method]bool
+	open     map[string]bool // ids of the RPCs that clients wait for
 	clients  slots.Table[*client]
 	listener *loop.Listener
 	leaving  bool      // connections end between RPCs
@@ -37,6 +39,7 @@
 
 const (
 	patience = 2 * time.Second        // a client that says or reads nothing, or half of it, is kept so long
+	bearable = 8                      // messages of no use that a client may send
 	hesitant = 200 * time.Millisecond // since its start a client may take to ask, before it makes room for others
 )
 
@@ -51,7 +54,10 @@
 	asking   bool // the host is being asked to take it
 	size     int  // bytes of the message that asked for it
 	text     int  // where the statement starts in the message
+	id       string
 	budget   [2]int
+	checked  int // bytes from there on in which only whole heads were found
+	unclear  int // messages that were of no use
 	asked    bool
 	answered time.Duration // when it last was
 	idle     time.Duration // since when nothing is asked, or half of it
@@ -61,11 +67,14 @@
 }
 
 // Listen starts to take clients in. The methods are named in their order.
-func Listen(l *loop.Loop, host Host, at netip.AddrPort, methods []string, sessions []bool) (*Front, error) {
-	f := &Front{loop: l, host: host, methods: make(map[string]driver.Method), sessions: make(map[driver.Method]bool)}
+func Listen(l *loop.Loop, host Host, at netip.AddrPort, methods []string, sessions, tokened []bool) (*Front, error) {
+	f := &Front{
+		loop: l, host: host, methods: make(map[string]driver.Method), sessions: make(map[driver.Method]bool),
+		tokened: make(map[driver.Method]bool), open: make(map[string]bool),
+	}
 	for i, name := range methods {
-		f.methods[name] = driver.Method(i)
-		f.sessions[driver.Method(i)] = sessions[i]
+		number := driver.Method(i)
+		f.methods[name], f.sessions[number], f.tokened[number] = number, sessions[i], tokened[i]
 	}
 	var err error
 	f.listener, err = l.Listen(at, pgwire.Most+1, f.accept, f.yield)
@@ -144,21 +153,28 @@
 	c.front.clients.Drop(c.handle)
 	c.front.waitsNoMore(c)
 	c.gone = true
+	c.letGo()
+}
+
+// letGo tells that nobody waits for the RPC that is served, if there is one.
+func (c *client) letGo() {
 	if c.serving {
-		c.serving = false
+		c.served()
 		c.front.host.ClientLeft(c.rpc)
 	}
 }
 
+func (c *client) served() {
+	c.serving = false
+	delete(c.front.open, c.id)
+}
+
 // Panicked aborts what was being served: it may have run.
 func (c *client) Panicked(cause error) {
 	if !c.gone {
 		c.stream.Send(pgwire.AppendError(nil, true, "58000", "aborted", -1))
 	}
-	if c.serving {
-		c.serving = false
-		c.front.host.ClientLeft(c.rpc)
-	}
+	c.letGo()
 	c.close()
 }
 
@@ -169,8 +185,10 @@
 	c.stream.CloseWhenSent()
 }
 
+// fail ends what cannot be read, whatever is served on it.
 func (c *client) fail(code, message string) {
 	c.front.host.Count("clients_refused")
+	c.letGo()
 	c.stream.Send(pgwire.AppendError(nil, true, code, message, -1))
 	c.close()
 }
@@ -179,7 +197,11 @@
 	if c.gone {
 		return len(in)
 	}
-	if c.serving || c.stream.Unsent() > 0 { // who does not read gets nothing more to read
+	if c.serving {
+		c.foresee(in)
+		return 0
+	}
+	if c.stream.Unsent() > 0 { // who does not read gets nothing more to read
 		return 0
 	}
 	if c.asked && !c.begun {
@@ -194,7 +216,7 @@
 		c.fail("08P01", err.Error())
 		return len(in)
 	}
-	if in[0] != 'Q' && in[0] != 'X' {
+	if !served(kind) {
 		c.fail("08P01", "only simple queries are served")
 		return len(in)
 	}
@@ -213,6 +235,34 @@
 	return c.query(text, size)
 }
 
+// served tells whether a message of the kind is; 0 stands for one whose head is not whole.
+func served(kind byte) bool { return kind == 'Q' || kind == 'X' || kind == 0 }
+
+// foresee looks behind the RPC that is served: what cannot be read there ends the connection at once.
+func (c *client) foresee(in []byte) {
+	for c.checked < len(in) {
+		kind, _, size, err := pgwire.Next(in[c.checked:])
+		if err != nil || !served(kind) {
+			c.fail("08P01", "what came behind the query cannot be read")
+			return
+		}
+		if size == 0 {
+			return
+		}
+		c.checked += size
+	}
+}
+
+// useless answers a message that nothing can be done with; who sends too many of them is let go.
+func (c *client) useless(message string) {
+	c.front.host.Count("clients_unclear")
+	if c.unclear++; c.unclear > bearable {
+		c.fail("08P01", message)
+		return
+	}
+	c.stream.Send(pgwire.AppendError(nil, false, "08P01", message, -1), pgwire.AppendReady(nil))
+}
+
 func (c *client) start(in []byte) int {
 	code, size, err := pgwire.First(in)
 	switch {
@@ -221,7 +271,8 @@
 		return len(in)
 	case size == 0:
 		return 0
-	case code == pgwire.TLS || code == pgwire.GSS:
+	case (code == pgwire.TLS || code == pgwire.GSS) && c.unclear < bearable:
+		c.unclear++
 		c.stream.Send([]byte{'N'})
 	case code == pgwire.Cancel:
 		c.close()
@@ -236,18 +287,27 @@
 
 func (c *client) query(text []byte, size int) int {
 	f := c.front
-	var method, limit, group, after []byte
-	repeat, wrote := false, time.Duration(0)
+	var id, method, limit, group, after, token []byte
+	repeat, twice, wrote := false, false, time.Duration(0)
+	once := func(field *[]byte, value []byte) {
+		twice = twice || *field != nil
+		*field = value
+	}
 	rest, ok := pgwire.Comment(text, func(name, value []byte, from, to int) {
 		switch string(name) {
+		case "id":
+			once(&id, value)
 		case "c":
-			method = value
+			once(&method, value)
 		case "d":
-			limit, c.budget = value, [2]int{from, to}
+			once(&limit, value)
+			c.budget = [2]int{from, to}
+		case "k":
+			once(&token, value)
 		case "cluster":
-			group = value
+			once(&group, value)
 		case "after":
-			after = value
+			once(&after, value)
 		case "r":
 			repeat = string(value) == "1"
 		}
@@ -259,10 +319,13 @@
 	number, known := f.methods[string(method)]
 	millis, err := strconv.ParseInt(string(limit), 10, 32)
 	in, wrong := strconv.ParseUint(string(group), 10, 16)
-	if !known || err != nil || wrong != nil || len(rest) == 0 {
-		f.host.Count("clients_unclear")
-		c.stream.Send(pgwire.AppendError(nil, false, "08P01", "the comment of the statement is of no use", -1),
-			pgwire.AppendReady(nil))
+	if !known || err != nil || millis <= 0 || wrong != nil || twice || len(rest) == 0 || len(id) == 0 ||
+		f.tokened[number] && len(token) == 0 {
+		c.useless("the comment of the statement is of no use")
+		return size
+	}
+	if f.open[string(id)] {
+		c.useless("an RPC of this id is being served")
 		return size
 	}
 	session := driver.Session(0)
@@ -276,7 +339,9 @@
 	}
 	// Its time counts from its last byte, but not while an earlier one is answered.
 	until := max(f.loop.Now()-c.stream.Age(), c.answered) + time.Duration(millis)*time.Millisecond
-	c.serving, c.asking, c.asked, c.size, c.text = true, true, true, size, 5
+	c.serving, c.asking, c.asked, c.size, c.text, c.checked = true, true, true, size, 5, size
+	c.id = string(id)
+	f.open[c.id] = true
 	f.waitsNoMore(c)
 	c.rpc = f.host.Take(c.handle, number, driver.Group(in), session, until, wrote, repeat)
 	if c.asking = false; c.serving {
@@ -305,9 +370,7 @@
 	case "SET", "RESET", "DISCARD":
 		c.stream.Send(pgwire.AppendDone(nil, word))
 	default:
-		c.front.host.Count("clients_unclear")
-		c.stream.Send(pgwire.AppendError(nil, false, "08P01", "a statement without a comment", -1),
-			pgwire.AppendReady(nil))
+		c.useless("a statement without a comment")
 	}
 }
 
@@ -345,7 +408,8 @@
 	if c == nil || !c.serving {
 		return
 	}
-	c.serving, c.answered, c.unsent = false, f.loop.Now(), 0
+	c.served()
+	c.answered, c.unsent = f.loop.Now(), 0
 	f.wait(c)
 	c.stream.Send(parts...)
 	if c.asking {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -65,6 +66,9 @@
 // loggedEach parts the log lines on failures at one member: a few lines tell as much as all of them.
 const loggedEach = 5 * time.Second
 
+// ahead is how far a position may be told to be ahead of the clock, by its rounding.
+const ahead = time.Second
+
 var (
 	errSlow    = errors.New("no answer in time")
 	errConnect = errors.New("the connection did not come up in time")
@@ -309,17 +313,17 @@
 	})
 }
 
-// Input reads what has come so far; nothing is taken before the answer is whole.
+// Input reads what has come so far; nothing is taken before the answer is whole, and nothing of one that turns
+// out spoilt is believed.
 func (k *conn) Input(in []byte) int {
 	p := k.pool
 	if k.ready && k.call == nil {
 		return k.chat(in)
 	}
 	p.rows, p.report = p.rows[:0], p.report[:0]
-	rows, done, whole := 0, false, false
-	pos, role := time.Duration(0), driver.Unknown
-	at := 0
-	for {
+	pos, role, code := time.Duration(0), driver.Unknown, ""
+	seen, at := byte(0), 0 // seen: the kind of the latest message of the answer proper
+	for seen != 'Z' {
 		kind, body, size, err := pgwire.Next(in[at:])
 		if err != nil {
 			k.broken(errGarbage)
@@ -329,41 +333,43 @@
 			k.begun = k.begun || kind != 0 && kind != 'S' && kind != 'N'
 			return 0
 		}
+		fits := true
 		switch kind {
-		case 'R', 'K', 'N', 'I':
+		case 'R', 'K':
+			fits = !k.ready
+		case 'N':
 		case 'S':
-			pos, role = k.parameter(body, pos, role)
-		case 'T', 'D', 'C':
-			k.begun = true
-			if p.rows = append(p.rows, in[at:at+size]); kind == 'D' {
-				rows++
-			} else if kind == 'T' && (pgwire.Columns(body) != 1 || rows > 0) {
-				k.broken(errGarbage)
-				return 0
-			}
-			done = done || kind == 'C'
+			pos, role, fits = k.parameter(body, pos, role)
+		case 'I':
+			fits = k.call != nil && k.call.probe && seen == 0
+		case 'T':
+			fits = seen == 0 && pgwire.Described(body)
+		case 'D':
+			fits = seen == 'T' && pgwire.Row(body)
+		case 'C':
+			fits = seen == 'D' && pgwire.Tag(body)
 		case 'E':
-			k.begun = true
-			pgwire.Fields(body, func(field byte, value []byte) {
-				if field == 'C' {
-					k.code = string(value)
-				}
-			})
-			if k.code == "" {
-				k.code = "XX000"
-			}
-			if !k.ready {
-				k.broken(errGarbage)
-				return 0
-			}
+			code = p.code(body)
+			fits = seen != 'C' && seen != 'E' && code != ""
+			k.code = code
 		case 'Z':
-			whole = true
+			answered := seen == 'C' || seen == 'E' || seen == 'I' && k.call != nil && k.call.probe
+			fits = pgwire.Ready(body) && (answered || !k.ready && seen == 0)
 		default:
+			fits = false
+		}
+		if !fits { // then a code that came before it proves nothing
+			k.code = ""
+		}
+		if !fits || !k.ready && code != "" {
 			k.broken(errGarbage)
 			return 0
 		}
-		if at += size; whole {
-			break
+		if at += size; kind == 'T' || kind == 'D' || kind == 'C' {
+			p.rows = append(p.rows, in[at-size:at])
+		}
+		if kind != 'R' && kind != 'K' && kind != 'N' && kind != 'S' {
+			k.begun, seen = true, kind
 		}
 	}
 	if !k.ready {
@@ -372,15 +378,13 @@
 		return at
 	}
 	c := k.call
-	if c == nil || !k.written {
+	if !k.written {
 		k.broken(errGarbage)
 		return 0
 	}
 	how := driver.OK
-	if k.code != "" {
-		how = outcomeOf(k.code)
-	} else if !c.probe && (!done || rows != 1) {
-		how = driver.Failed
+	if code != "" {
+		how = outcomeOf(code)
 	}
 	k.call, k.written, k.code = nil, false, ""
 	keep := at == len(in) && k.at == k.member.at // it has not moved, nor does it say more than it was asked
@@ -394,6 +398,20 @@
 	return at
 }
 
+// code reads the code of an error, nothing where there is none that could be one.
+func (p *Pool) code(body []byte) (code string) {
+	ok := pgwire.Fields(body, func(field byte, value []byte) {
+		if field == 'C' {
+			code = string(value)
+		}
+	})
+	odd := func(r rune) bool { return (r < '0' || r > '9') && (r < 'A' || r > 'Z') }
+	if !ok || len(code) != 5 || strings.ContainsFunc(code, odd) {
+		return ""
+	}
+	return code
+}
+
 // chat passes over what an idle member may say unasked; after anything else it is not used again.
 func (k *conn) chat(in []byte) int {
 	kind, _, size, err := pgwire.Next(in)
@@ -403,11 +421,12 @@
 	return size
 }
 
-func (k *conn) parameter(body []byte, pos time.Duration, role driver.Role) (time.Duration, driver.Role) {
-	name, value, _ := pgwire.Parameter(body)
+func (k *conn) parameter(body []byte, pos time.Duration, role driver.Role) (time.Duration, driver.Role, bool) {
+	name, value, ok := pgwire.Parameter(body)
 	switch string(name) {
 	case "replay_position":
-		if millis, err := strconv.ParseInt(string(value), 10, 64); err == nil {
+		millis, err := strconv.ParseInt(string(value), 10, 64)
+		if latest := k.pool.loop.Now() + ahead; err == nil && millis > 0 && millis <= int64(latest/time.Millisecond) {
 			pos = time.Duration(millis) * time.Millisecond
 		}
 	case "node_role":
@@ -420,16 +439,21 @@
 	case "server_load":
 		k.pool.load(string(value))
 	}
-	return pos, role
+	return pos, role, ok
 }
 
-// load puts the fields of a load report into the order of the columns.
+// load puts the fields of a load report into the order of the columns. One that cannot be read tells nothing.
 func (p *Pool) load(text string) {
 	p.report = append(p.report[:0], make([]float64, len(p.columns))...)
 	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(field, "=")
+		name, number, found := strings.Cut(field, "=")
+		value, err := strconv.ParseFloat(number, 64)
+		if !found || err != nil || !(value >= 0) || math.IsInf(value, 1) {
+			p.report = p.report[:0]
+			return
+		}
 		if i := slices.Index(p.columns, p.word(name)); i >= 0 {
-			p.report[i], _ = strconv.ParseFloat(value, 64)
+			p.report[i] = value
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,8 +90,8 @@
 			log.Printf("event=known_list_unusable cause=%q", err)
 		}
 	}
-	names, sessions := site.methods()
-	if n.front, err = clients.Listen(l, n, site.Listen, names, sessions); err != nil {
+	names, sessions, tokened := site.methods()
+	if n.front, err = clients.Listen(l, n, site.Listen, names, sessions, tokened); err != nil {
 		return nil, fmt.Errorf("listen %s: %w", site.Listen, err)
 	}
 	if site.Terms["list"] == "pushed" {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -120,15 +120,17 @@
 	return at, nil
 }
 
-// methods gives the names in order, and which of them belong to sessions.
-func (s *Site) methods() (names []string, sessions []bool) {
+// methods gives the names in order, which of them belong to sessions, and which carry a token.
+func (s *Site) methods() (names []string, sessions, tokened []bool) {
 	t := terms.New(s.Terms)
 	for i := range int(t.Number("methods.count", 0)) {
 		need := t.Item("family_info.needs", i)
-		names = append(names, t.Text("methods."+strconv.Itoa(i)+".name"))
+		at := "methods." + strconv.Itoa(i)
+		names = append(names, t.Text(at+".name"))
+		tokened = append(tokened, t.Text(at+".effect") == "tokened")
 		sessions = append(sessions, need == "session" || need == "write")
 	}
-	return names, sessions
+	return names, sessions, tokened
 }
 
 func (s *Site) span(name string, otherwise time.Duration) time.Duration {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -95,33 +95,53 @@
 	return nil
 }
 
-// Fields reads the fields of an error.
-func Fields(body []byte, each func(code byte, value []byte)) {
+// Fields reads the fields of an error; ok is false where they do not fit into each other.
+func Fields(body []byte, each func(code byte, value []byte)) (ok bool) {
 	for len(body) > 1 && body[0] != 0 {
 		end := bytes.IndexByte(body[1:], 0)
 		if end < 0 {
-			return
+			return false
 		}
 		each(body[0], body[1:1+end])
 		body = body[end+2:]
 	}
+	return len(body) == 1 && body[0] == 0
 }
 
 // Parameter reads a parameter's name and value.
 func Parameter(body []byte) (name, value []byte, ok bool) {
 	name, rest, found := bytes.Cut(body, []byte{0})
-	value, _, ended := bytes.Cut(rest, []byte{0})
-	return name, value, found && ended
+	value, rest, ended := bytes.Cut(rest, []byte{0})
+	return name, value, found && ended && len(rest) == 0
 }
 
-// Columns tells how many columns a row has, or a description of rows.
-func Columns(body []byte) int {
-	if len(body) < 2 {
-		return -1
+const column = 18 // bytes that describe a column, behind its name
+
+// Described tells whether a body describes rows of one column.
+func Described(body []byte) bool {
+	if len(body) < 2 || binary.BigEndian.Uint16(body) != 1 {
+		return false
 	}
-	return int(int16(binary.BigEndian.Uint16(body)))
+	return bytes.IndexByte(body[2:], 0) == len(body)-2-1-column
+}
+
+// Row tells whether a body is a row of one column.
+func Row(body []byte) bool {
+	return len(body) >= 6 && binary.BigEndian.Uint16(body) == 1 && int64(binary.BigEndian.Uint32(body[2:])) == int64(len(body)-6)
 }
 
+// Tag tells whether a body is what ends a command.
+func Tag(body []byte) bool {
+	text, ok := Text(body)
+	for _, b := range text {
+		ok = ok && (b == ' ' || b >= '0' && b <= '9' || b >= 'A' && b <= 'Z')
+	}
+	return ok && len(text) > 0
+}
+
+// Ready tells whether a body says that the next query may come.
+func Ready(body []byte) bool { return len(body) == 1 && bytes.IndexByte([]byte("ITE"), body[0]) >= 0 }
+
 // AppendFirst asks for a connection as the user to the database.
 func AppendFirst(out []byte, user, database string) []byte {
 	at := len(out)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,7 +49,7 @@
 const anyAge, bounded, session, fresh, write = "any", "bounded", "session", "fresh", "write"
 
 // holdPart is how much of an RPC's time may pass before it is sent.
-var holdPart = map[string]float64{anyAge: 0.15, bounded: 0.15, session: 0.15, fresh: 0.5, write: 0.5}
+var holdPart = map[string]float64{anyAge: 0.15, bounded: 0.15, session: 0.15, fresh: 0.45, write: 0.45}
 
 // distance is how much longer a member seems by whether it is in this driver's zone.
 var distance = map[bool]float64{true: 1, false: 1.3}
@@ -595,9 +595,9 @@
 	case driver.Miss, driver.Full:
 		m.heard = now
 	case driver.Failed, driver.Broken, driver.NoConnection:
-		// Now and then it is the network's doing, most of them the member's; quick errors would draw RPCs. Where
-		// most members fail it is the fault of none, and leaving each a trickle would only make it worse.
-		if m.fails += memory * (1 - m.fails); m.fails > failing && r.failing < 0.5 {
+		// Now and then it is the network's doing, or the RPC's, which then fails elsewhere too; quick errors draw
+		// RPCs. Where most members fail it is the fault of none, and a trickle for each would make it worse.
+		if m.fails += memory / float64(len(q.calls)) * (1 - m.fails); m.fails > failing && r.failing < 0.5 {
 			r.setAside(m, now, "fails or takes no connections")
 		}
 	case driver.TimedOut, driver.Cancelled:
@@ -657,8 +657,8 @@
 // reported reads a load report. Its position is also how old it is at most as a proof of the role.
 func (r *Router) reported(m *member, report []float64) {
 	x0, x1 := slices.Index(r.columns, "x0"), slices.Index(r.columns, "x1")
-	if x0 < 0 || max(x0, x1) >= len(report) || report[x0] <= 0 {
-		return
+	if x0 < 0 || max(x0, x1) >= len(report) || report[x0] <= 0 || report[x0] > r.host.Now().Seconds()+1 {
+		return // nobody has applied what was not written yet
 	}
 	pos := time.Duration(report[x0]*float64(time.Second)) - time.Millisecond
 	m.pos = max(m.pos, pos)
