What is forgotten leaves nothing; kept connections are served for 0.7 s of a planned stop

Suspects from reading, now told by tests that fail without the change: a member's number came from the length of a map that never shrank; uids, the pool and the module's groups kept all that were ever named; due times stayed until they came, so an RPC with a time of weeks left its own behind; clients could hold all of the budget for long messages with halves of theirs.

Stop: clients keep their connections as long as these stay open, and SIGKILL comes no sooner than the longest time and 0.7 s. Node.leave closed them at once, and no new ones came after 0.4 s: the log shows 0.6 s from SIGTERM to the end and 1.6 s more until the next start.

An idle connection that has rested for 2 ms is preferred, as what belongs to no answer may come just behind one.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -74,6 +74,7 @@
 	Abort(rpc RPC)                            // final
 	Probe(m Member)
 	CloseIdle(m Member)
+	Forget(m Member) // nothing more is sent to it; listed again, it is another
 	Watch(on bool)
 	FetchList()
 	Tell(to Peer, text []byte)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -80,8 +80,17 @@
 // Now is the time of this turn: all that happens in one turn happens at once.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// Due is a call that is to come.
+type Due = *due.Item[func()]
+
 // At calls once the time has come, in this turn if it has come already, but never at once.
-func (l *Loop) At(at time.Duration, act func()) { l.dues.Push(at, act) }
+func (l *Loop) At(at time.Duration, act func()) Due { return l.dues.Push(at, act) }
+
+// Forget takes a call back that has not come yet.
+func (l *Loop) Forget(d Due) { l.dues.Remove(d) }
+
+// Dues counts the calls that are to come.
+func (l *Loop) Dues() int { return l.dues.Count() }
 
 // Later calls in this turn, after what is being served.
 func (l *Loop) Later(act func()) { l.dues.Push(l.now, act) }
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -22,7 +22,10 @@
 // ErrNoRoom tells that all descriptors are in use.
 var ErrNoRoom = errors.New("no descriptor is free")
 
-const common = 8 << 10 // bytes of a read buffer
+const (
+	common = 8 << 10 // bytes of a read buffer
+	spares = 64      // of them that are kept for the next
+)
 
 // Stream is one TCP connection.
 type Stream struct {
@@ -176,8 +179,11 @@
 		s.buffer, s.taken = s.buffer[:copy(s.buffer, s.buffer[s.taken:])], 0
 		return true
 	}
-	size := min(2*cap(s.buffer), s.most)
-	if s.loop.larger+size-cap(s.buffer) > s.loop.budget {
+	size, budget := min(2*cap(s.buffer), s.most), s.loop.budget
+	if s.from != nil { // who comes in leaves as much for what was asked for
+		budget /= 2
+	}
+	if s.loop.larger+size-cap(s.buffer) > budget {
 		return false
 	}
 	s.loop.larger += size - cap(s.buffer)
@@ -222,7 +228,9 @@
 func (s *Stream) release() {
 	l := s.loop
 	if cap(s.buffer) == common {
-		l.spare = append(l.spare, s.buffer[:0])
+		if len(l.spare) < spares {
+			l.spare = append(l.spare, s.buffer[:0])
+		}
 	} else if s.buffer != nil {
 		l.larger -= cap(s.buffer) - common
 		waiting := l.starved
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -94,6 +94,7 @@
 	id    driver.Member
 	at    netip.AddrPort
 	idle  []*conn       // newest last
+	tidy  loop.Due      // ends the oldest of them in time
 	quiet time.Duration // until when failures are not logged
 }
 
@@ -108,6 +109,7 @@
 	until  time.Duration
 	conn   *conn
 	text   []byte // waits for the connection
+	due    loop.Due
 }
 
 type conn struct {
@@ -120,6 +122,7 @@
 	call    *call
 	written bool // the call-out was handed to the stream
 	since   time.Duration
+	due     loop.Due // it must be up then
 	begun   bool
 	code    string // of the error that came
 }
@@ -157,7 +160,7 @@
 		p.loop.Later(func() { p.end(c, driver.Moot, 0, driver.Unknown, nil, nil) })
 		return c.handle
 	}
-	p.loop.At(until, func() { p.expire(c.handle) })
+	c.due = p.loop.At(until, func() { p.expire(c.handle) })
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
 		k.write(before, after)
@@ -180,7 +183,7 @@
 		p.loop.Later(func() { p.end(c, driver.Moot, 0, driver.Unknown, nil, nil) })
 		return
 	}
-	p.loop.At(c.until, func() { p.expire(c.handle) })
+	c.due = p.loop.At(c.until, func() { p.expire(c.handle) })
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
 		k.ask()
@@ -189,11 +192,20 @@
 	p.connect(c, m)
 }
 
-// newest takes the connection out that was idle for the shortest time, unless the member may have closed it.
+// settled is how long what belongs to no answer may come behind it: a connection that has rested for so long and
+// has nothing to read says nothing but the next answer.
+const settled = 2 * time.Millisecond
+
+// newest takes the connection out that was idle for the shortest time of those that have settled, unless the
+// member may have closed it.
 func (p *Pool) newest(m *member) *conn {
 	for len(m.idle) > 0 {
-		k := m.idle[len(m.idle)-1]
-		m.idle = m.idle[:len(m.idle)-1]
+		i := len(m.idle) - 1
+		for i > 0 && p.loop.Now()-m.idle[i].since < settled {
+			i--
+		}
+		k := m.idle[i]
+		m.idle = slices.Delete(m.idle, i, i+1)
 		if p.loop.Now()-k.since < p.idleFor && k.stream.Alive() {
 			return k
 		}
@@ -220,7 +232,7 @@
 	c.conn = k
 	p.host.Count("connects")
 	k.stream.Send(pgwire.AppendFirst(nil, "app", "shop"))
-	p.loop.At(p.loop.Now()+p.connectIn, func() {
+	k.due = p.loop.At(p.loop.Now()+p.connectIn, func() {
 		if p.conns.Get(k.handle) == k && !k.ready {
 			k.broken(errConnect)
 		}
@@ -239,13 +251,17 @@
 
 func (k *conn) drop() {
 	k.stream.Close()
+	k.gone()
+}
+
+func (k *conn) gone() {
+	k.pool.loop.Forget(k.due)
 	k.pool.conns.Drop(k.handle)
 	k.member.idle = slices.DeleteFunc(k.member.idle, func(o *conn) bool { return o == k })
 }
 
 func (k *conn) Closed(cause error) {
-	k.pool.conns.Drop(k.handle)
-	k.member.idle = slices.DeleteFunc(k.member.idle, func(o *conn) bool { return o == k })
+	k.gone()
 	c := k.call
 	if c == nil {
 		return
@@ -306,9 +322,20 @@
 func (k *conn) rest() {
 	k.since = k.pool.loop.Now()
 	k.member.idle = append(k.member.idle, k)
-	k.pool.loop.At(k.since+k.pool.idleFor, func() {
-		if k.pool.conns.Get(k.handle) == k && k.call == nil && k.pool.loop.Now()-k.since >= k.pool.idleFor {
-			k.drop()
+	if k.member.tidy == nil {
+		k.pool.tidyAt(k.member, k.since+k.pool.idleFor)
+	}
+}
+
+// tidyAt ends what will have been idle for too long then, and looks again for as long as something is idle.
+func (p *Pool) tidyAt(m *member, at time.Duration) {
+	m.tidy = p.loop.At(at, func() {
+		m.tidy = nil
+		for len(m.idle) > 0 && p.loop.Now()-m.idle[0].since >= p.idleFor {
+			m.idle[0].drop()
+		}
+		if len(m.idle) > 0 {
+			p.tidyAt(m, m.idle[0].since+p.idleFor)
 		}
 	})
 }
@@ -374,6 +401,7 @@
 	}
 	if !k.ready {
 		k.ready = true
+		p.loop.Forget(k.due)
 		k.start()
 		return at
 	}
@@ -510,7 +538,7 @@
 }
 
 func (p *Pool) fail(c *call, why Failure) {
-	if m, now := p.members[c.to], p.loop.Now(); now >= m.quiet {
+	if m, now := p.members[c.to], p.loop.Now(); m != nil && now >= m.quiet {
 		m.quiet = now + loggedEach
 		log.Printf("event=callout_failed member=%012x endpoint=%s %v", uint64(c.to), m.at, why)
 	}
@@ -522,6 +550,7 @@
 		return
 	}
 	p.calls.Drop(c.handle)
+	p.loop.Forget(c.due)
 	took := p.loop.Now() - c.sent
 	if c.probe {
 		p.host.Probed(c.to, how == driver.OK, took, report)
@@ -539,6 +568,15 @@
 	}
 }
 
+// Forget drops a member that nothing more is sent to.
+func (p *Pool) Forget(id driver.Member) {
+	if m := p.members[id]; m != nil {
+		p.CloseIdle(id)
+		m.at = netip.AddrPort{} // what is still out rests nowhere
+		delete(p.members, id)
+	}
+}
+
 // MakeRoom ends the connection that was idle for longest; it tells whether there was one.
 func (p *Pool) MakeRoom() bool {
 	var oldest *conn
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	calls    []slots.Handle
 	out      int
 	answered bool
+	overdue  loop.Due
 }
 
 // Node is one driver.
@@ -46,7 +47,9 @@
 	list    *list.Discovery
 	peers   *peers.Peers
 	rpcs    slots.Table[*rpc]
-	uids    map[string]driver.Member
+	numbers map[string]driver.Member // by uid
+	uids    map[driver.Member]string
+	last    driver.Member // the latest number given
 	zones   []string
 	counts  map[string]int
 	most    int // call-outs of one RPC
@@ -64,7 +67,8 @@
 	}
 	t := terms.New(site.Terms)
 	n := &Node{
-		site: site, loop: l, uids: make(map[string]driver.Member), counts: make(map[string]int),
+		site: site, loop: l, counts: make(map[string]int),
+		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
 		tick: t.Span("tick"),
 	}
@@ -101,7 +105,7 @@
 }
 
 const (
-	newcomers = 500 * time.Millisecond // connections still come for so long after a planned stop was begun
+	newcomers = 700 * time.Millisecond // connections still come for so long after a planned stop was begun
 	look      = 20 * time.Millisecond  // between looks whether all is answered
 	buffers   = 4                      // a quarter of the memory may hold long messages
 )
@@ -182,8 +186,8 @@
 	}
 	n.leaving = true
 	log.Printf("event=leaving rpcs=%d clients=%d", n.rpcs.Count(), n.front.Open())
-	n.front.Leave()
 	n.loop.At(n.loop.Now()+newcomers, func() {
+		n.front.Leave()
 		n.front.Shut()
 		n.loop.At(n.loop.Now()+look, n.stopWhenDone)
 	})
@@ -211,8 +215,8 @@
 		fmt.Fprintf(&line, " %s=%d", name, n.counts[name])
 	}
 	open, most := n.loop.Open()
-	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d descriptors_most=%d lines_lost=%d%s",
-		n.rpcs.Count(), n.front.Open(), n.pool.Open(), open, most, n.lines.lost.Load(), line.String())
+	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d descriptors_most=%d dues=%d lines_lost=%d%s",
+		n.rpcs.Count(), n.front.Open(), n.pool.Open(), open, most, n.loop.Dues(), n.lines.lost.Load(), line.String())
 }
 
 // Take hands an RPC to the module.
@@ -226,7 +230,7 @@
 		n.front.PushBack(from, 0)
 		return 0
 	}
-	n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
+	q.overdue = n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
 	n.module.Take(driver.RPC(h), method, group, 0, session, until, wrote, repeat)
 	return driver.RPC(h)
 }
@@ -250,6 +254,7 @@
 		return 0, false
 	}
 	q.answered = true
+	n.loop.Forget(q.overdue)
 	n.Count("rpcs_" + how)
 	n.drop(id, q)
 	return q.client, true
@@ -299,13 +304,14 @@
 
 func (n *Node) ListBegins(how driver.Listing) { n.module.ListBegins(how) }
 
-// Listed gives a member one number for as long as this driver lives, whatever its address.
+// Listed gives a member one number until it is forgotten, whatever its address. No number comes twice.
 func (n *Node) Listed(uid string, at netip.AddrPort, zone string, group driver.Group, state driver.Standing,
 	size float64, started time.Duration, primary bool) {
-	m, known := n.uids[uid]
+	m, known := n.numbers[uid]
 	if !known {
-		m = driver.Member(len(n.uids) + 1)
-		n.uids[uid] = m
+		n.last++
+		m = n.last
+		n.numbers[uid], n.uids[m] = m, uid
 		log.Printf("event=member_listed member=%012x uid=%s endpoint=%s group=%d", uint64(m), uid, at, group)
 	}
 	if at.IsValid() {
@@ -360,8 +366,15 @@
 
 func (n *Node) Probe(m driver.Member)     { n.pool.Probe(m) }
 func (n *Node) CloseIdle(m driver.Member) { n.pool.CloseIdle(m) }
-func (n *Node) Watch(on bool)             { n.list.Watch(on) }
-func (n *Node) FetchList()                { n.list.Fetch() }
+
+func (n *Node) Forget(m driver.Member) {
+	n.pool.Forget(m)
+	delete(n.numbers, n.uids[m])
+	delete(n.uids, m)
+}
+
+func (n *Node) Watch(on bool) { n.list.Watch(on) }
+func (n *Node) FetchList()    { n.list.Fetch() }
 
 func (n *Node) Tell(to driver.Peer, text []byte) {
 	if n.peers != nil {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -345,6 +345,7 @@
 func (i *instance) Probe(m driver.Member)     { i.about(actProbe, m) }
 func (i *instance) CloseIdle(m driver.Member) { i.about(actCloseIdle, m) }
 func (i *instance) FetchList()                { i.done(i.act(actFetch)) }
+func (i *instance) Forget(driver.Member)      {} // its address is its name
 
 func (i *instance) Watch(on bool) {
 	place := i.act(actWatch)
--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -48,6 +48,7 @@
 	next    driver.RPC
 	wake    time.Duration
 	probes  []driver.Member
+	forgot  []driver.Member
 	checks  bool
 	lax     bool // only draining binds, until the next start
 	watches int
@@ -253,6 +254,8 @@
 	w.r.Ended(id, q.last, q.to, how, w.now-q.sentAt, complete, pos.Truncate(ms), role, nil)
 }
 
+func (w *world) Forget(m driver.Member) { w.forgot = append(w.forgot, m) }
+
 func (w *world) step(by time.Duration) {
 	for target := w.now + by; w.now < target; {
 		w.now += 5 * ms
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -36,7 +37,7 @@
 	exploring    = 0.2                    // of the reads that may go to a replica unheard of
 	probePart    = 0.25                   // probes for each RPC taken
 	probeCredit  = 20.0                   // probes that may be saved up, and sent at the start
-	kept         = 5 * time.Minute        // in which a session's write or a member off the list is remembered
+	kept         = 5 * time.Minute        // in which a session's write is remembered
 	scatter      = 1.5                    // latencies up to this much over the predicted one are reckoned with
 	ranking      = 0.25                   // how strongly utility for work ranks RPCs; 0: not at all
 	fading       = 3 * time.Second        // in which a latency that was not seen again loses its meaning
@@ -51,6 +52,9 @@
 // holdPart is how much of an RPC's time may pass before it is sent.
 var holdPart = map[string]float64{anyAge: 0.15, bounded: 0.15, session: 0.15, fresh: 0.45, write: 0.45}
 
+// absent is how long a member off the list is remembered, by whether it may still be used.
+var absent = map[bool]time.Duration{true: kept, false: pinLimit}
+
 // distance is how much longer a member seems by whether it is in this driver's zone.
 var distance = map[bool]float64{true: 1, false: 1.3}
 
@@ -349,8 +353,7 @@
 }
 
 // coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
-// from what warm members answer. Where that part is less than one RPC a window, as with a hundred drivers,
-// the dice let one through in some windows: all drivers' RPCs add up to the budget, and none is shut out.
+// from what warm ones answer. Where that is less than one RPC a window, the dice let one through in some windows.
 func (r *Router) coldRoom(m *member, work float64, now time.Duration) bool {
 	if !r.cold(m, now) {
 		return true
@@ -381,9 +384,8 @@
 	}
 }
 
-// companion picks the replica for a read: the quickest known past the floor, but one that is idle and has not
-// been heard of for a while goes first, or what it knows and how quick it is would be forgotten. After some
-// seconds it is asked even unproven where members turn away reads themselves: else it might never come back.
+// companion picks the replica for a read: the quickest known past the floor, but one idle and unheard of goes
+// first, or what it knows would be forgotten; after some seconds even unproven, where it checks by itself.
 func (r *Router) companion(q *rpc, floor, now time.Duration) *member {
 	var best *member
 	all := q.group.members
@@ -423,8 +425,8 @@
 	return r.usually(m, now) * (float64(len(m.out)) + 1) / (m.depth + 1)
 }
 
-// usually is the member's ratio, of which an old one fades into 1. To a driver that sends a member few RPCs
-// the longest unseen would look best otherwise, and no jam would show. What keeps RPCs away fades too.
+// usually is the member's ratio, of which an old one fades into 1, more slowly where members are met seldom:
+// the longest unseen would look best otherwise, and no jam would show.
 func (r *Router) usually(m *member, now time.Duration) float64 {
 	longer := max(1, float64(2*len(r.all))*r.every.Seconds()/fading.Seconds())
 	return 1 + (m.ratio-1)*faded(time.Duration(float64(now-m.timedAt)/longer))
@@ -433,9 +435,8 @@
 // faded is what is left of an old latency: without it a small driver sheds for good after a short jam.
 func faded(age time.Duration) float64 { return math.Exp(-float64(max(age, 0)) / float64(fading)) }
 
-// cautious is the time that must be left for an RPC to be taken: latencies scatter, and where not all can be
-// in time, what brings less utility for its work makes room first. What brings most needs no time to spare
-// where this driver holds nothing: with many drivers it would shed on chance news of a primary met seldom.
+// cautious is the time that must be left for an RPC to be taken: latencies scatter, and what brings less for
+// its work makes room first. What brings most needs no time to spare where this driver holds nothing.
 func (r *Router) cautious(to *member, meth *method, utility float64) time.Duration {
 	most := 0.0
 	for _, m := range r.methods {
@@ -626,8 +627,7 @@
 	m.ratio, m.timedAt = max(0.2, m.ratio+weight*(part-m.ratio)), now
 }
 
-// setAside leaves a member a trickle. It meets every symptom of one that does not answer: crashed, hung, cut
-// off, full of connections. Where the whole group is struck, the trickle finds the first one back.
+// setAside leaves a member that does not answer a trickle, which finds the first one back of a whole group.
 func (r *Router) setAside(m *member, now time.Duration, why string) {
 	if m.trickle == 0 {
 		r.host.Log(fmt.Sprintf("member %012x set aside: it %s", uint64(m.id), why))
@@ -788,17 +788,17 @@
 
 // forgotten drops a member that was off the list and silent for long, but no drain that may still bind.
 func (r *Router) forgotten(m *member) bool {
-	if m.listed || len(m.out) > 0 || r.lax && m.drains || r.host.Now()-max(m.doubtAt, m.posAt) < kept {
+	if m.listed || len(m.out) > 0 || r.lax && m.drains || r.host.Now()-max(m.doubtAt, m.posAt) < absent[r.lax] {
 		return false
 	}
 	delete(r.members, m.id)
+	r.host.Forget(m.id)
 	m.group.members = slices.DeleteFunc(m.group.members, func(o *member) bool { return o == m })
 	return true
 }
 
 // ListEnds judges who may be sent to. Where only draining binds, being left out proves nothing: such a member
-// gets one RPC at a time until it says something. So an empty, shrunken or old list stops no service. It may
-// hurt a group whose members all died unlisted: each is asked now and then.
+// gets one RPC at a time until it says something. So an empty, shrunken or old list stops no service.
 func (r *Router) ListEnds(how driver.Listing) {
 	for _, m := range r.all {
 		if m.listed {
@@ -811,6 +811,7 @@
 		}
 	}
 	r.all = slices.DeleteFunc(r.all, r.forgotten)
+	maps.DeleteFunc(r.groups, func(_ driver.Group, g *group) bool { return len(g.members) == 0 })
 	if how == driver.NoList {
 		wait := time.Duration((0.5 + r.chance.Float()) * float64(time.Second))
 		r.dues.Push(r.host.Now()+wait, func() { r.host.Watch(true) })
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -194,6 +194,26 @@
 	}
 }
 
+// Where the list replaces members all day, what is kept of them stays the same, and the host can let go too.
+func TestReplacedMembersLeaveNothing(t *testing.T) {
+	w := settled(t, "none")
+	kept := len(w.r.all)
+	for i := range 50 {
+		old, fresh := w.order[i], driver.Member(1000+i)
+		n := *w.nodes[old]
+		n.started, n.standing = w.now, driver.Ready
+		w.nodes[fresh], w.nodes[old].standing = &n, driver.Gone
+		w.order = append(w.order, fresh)
+		w.list(driver.Changes, old, fresh)
+		w.r.groupOf(driver.Group(1000 + i)) // as an RPC for it does
+		w.step(15 * time.Second)
+	}
+	w.list(driver.Changes)
+	if len(w.r.all) != kept || len(w.r.members) != kept || len(w.forgot) != 50 || len(w.r.groups) != 2 {
+		t.Errorf("%d members instead of %d, %d forgotten, %d groups", len(w.r.all), kept, len(w.forgot), len(w.r.groups))
+	}
+}
+
 func TestFailedWatchIsAskedForAgainWithoutFlooding(t *testing.T) {
 	w := newWorld(t, 1, "wait", "list=asked")
 	w.watches = 0
