An answer that stops short is not waited for; clients hear 10 ms before their time is up

A trace of each call-out's end showed 652 of 13,000 timed out, at every member, on new and old connections, for short and long statements; 202 of them had begun their answer. Latencies were 19 ms at the median and 258 ms at 99.9%, so it was no jam: connections fall silent and answers stop short. To blame: conn.Input waited for the rest of an answer as long as for its first byte, and client.query gave a call-out the client's whole time, so that its abort came after that.

Members answer at one go: an answer that rests for 250 ms, longer than a lost packet takes to be sent again, is broken, and the module may send again.

Tried and taken back, for the 450 that never began: a call-out that takes six predicted latencies is asked again.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -39,6 +39,7 @@
 
 const (
 	patience = 2 * time.Second        // a client that says or reads nothing, or half of it, is kept so long
+	telling  = 10 * time.Millisecond  // which it may take to tell a client, and by which the kernel rounds
 	bearable = 8                      // messages of no use that a client may send
 	hesitant = 200 * time.Millisecond // since its start a client may take to ask, before it makes room for others
 )
@@ -340,7 +341,7 @@
 		wrote = max(1, f.loop.Now()-time.Duration(commit)*time.Millisecond)
 	}
 	// Its time counts from its last byte, but not while an earlier one is answered.
-	until := max(f.loop.Now()-c.stream.Age(), c.answered) + time.Duration(millis)*time.Millisecond
+	until := max(f.loop.Now()-c.stream.Age(), c.answered) + time.Duration(millis)*time.Millisecond - telling
 	f.waitsNoMore(c)
 	c.serving, c.asking, c.asked, c.size, c.text, c.checked = true, true, true, size, 5, size
 	c.id = string(id)
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -220,6 +220,9 @@
 	}
 }
 
+// Rests tells that nothing more is read for now, though it may have come.
+func (s *Stream) Rests() bool { return s.full || s.starved }
+
 // Unread is what has been read and not taken.
 func (s *Stream) Unread() []byte { return s.buffer[s.taken:] }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -66,6 +66,10 @@
 // loggedEach parts the log lines on failures at one member: a few lines tell as much as all of them.
 const loggedEach = 5 * time.Second
 
+// stalled is how long an answer that has begun may rest: longer than a lost packet takes to be sent again. Members
+// answer at one go.
+const stalled = 250 * time.Millisecond
+
 // ahead is how far a position may be told to be ahead of the clock, by its rounding.
 const ahead = time.Second
 
@@ -73,6 +77,7 @@
 	errSlow    = errors.New("no answer in time")
 	errConnect = errors.New("the connection did not come up in time")
 	errGarbage = errors.New("an answer that cannot be read")
+	errStalled = errors.New("an answer that stopped short")
 )
 
 // Pool holds the connections to all members.
@@ -122,7 +127,7 @@
 	call    *call
 	written bool // the call-out was handed to the stream
 	since   time.Duration
-	due     loop.Due // it must be up then
+	due     loop.Due // it must be up then, or go on with its answer
 	begun   bool
 	code    string // of the error that came
 }
@@ -357,7 +362,9 @@
 			return 0
 		}
 		if size == 0 {
-			k.begun = k.begun || kind != 0 && kind != 'S' && kind != 'N'
+			if k.begun = k.begun || kind != 0 && kind != 'S' && kind != 'N'; k.begun && k.ready {
+				k.expectMore()
+			}
 			return 0
 		}
 		fits := true
@@ -415,6 +422,7 @@
 		how = outcomeOf(code)
 	}
 	k.call, k.written, k.code = nil, false, ""
+	p.loop.Forget(k.due)
 	keep := at == len(in) && k.at == k.member.at // it has not moved, nor does it say more than it was asked
 	if keep {
 		k.rest()
@@ -426,6 +434,19 @@
 	return at
 }
 
+// expectMore ends the connection unless more of the answer comes in time, or is not read for want of memory.
+func (k *conn) expectMore() {
+	p := k.pool
+	p.loop.Forget(k.due)
+	k.due = p.loop.At(p.loop.Now()+stalled, func() {
+		if k.stream.Rests() {
+			k.expectMore()
+		} else if p.conns.Get(k.handle) == k && k.call != nil {
+			k.broken(errStalled)
+		}
+	})
+}
+
 // code reads the code of an error, nothing where there is none that could be one.
 func (p *Pool) code(body []byte) (code string) {
 	ok := pgwire.Fields(body, func(field byte, value []byte) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -683,6 +683,32 @@
 	}
 }
 
+// An answer that stops short is not waited for until the client's time is up; where none comes, the client hears
+// of it before that.
+func TestAnswersThatStopShort(t *testing.T) {
+	m := startMember(t, func(c net.Conn, q *query) bool {
+		switch field(q.text, "id") {
+		case "silent":
+			return silence(c)
+		case "short":
+			c.Write(rows("value of short")[:40])
+			return silence(c)
+		}
+		return leader(c, q)
+	})
+	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
+	c := dial(t, d.at)
+	c.ask(t, statement("any", "order", 5000, 0)) // shows who the primary is
+	began := time.Now()
+	if got := c.ask(t, statement("short", "pay", 5000, 0)); got != aborted || time.Since(began) > time.Second {
+		t.Errorf("after %v the client hears %s", time.Since(began), got)
+	}
+	began = time.Now()
+	if got := c.ask(t, statement("silent", "pay", 400, 0)); got != aborted || time.Since(began) >= 400*time.Millisecond {
+		t.Errorf("after %v of 400 ms the client hears %s", time.Since(began), got)
+	}
+}
+
 func TestClientThatLeavesFreesTheMember(t *testing.T) {
 	gone := make(chan bool, 1)
 	m := startMember(t, func(c net.Conn, q *query) bool {
