A member that answers what it held when it was set aside had only paused

To blame: Router.setAside leaves one RPC at a time, and each answer adds one, as for a member that comes back from the dead.

An answer to a call-out from before it was set aside ends that at once. It could do harm where a member under too much load answers a few of many; its latencies keep RPCs away then.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,9 +1,8 @@
 // Package rules is passtack's decision module: every decision of a driver is in this file.
 //
-// A host (cmd/simhost on the bench, the service later) makes one Router per driver with New and calls one
-// method for each thing that happens: ListBegins, Listed and ListEnds for the member list, Take for an
-// RPC, Ended for a call-out, Probed, Told, ClientLeft and Wake. The Router acts by calling the host, whose
-// interface is driver.Host in driver/driver.go. docs/design.md tells which decisions the design settles.
+// A host (internal/node on sockets, cmd/simhost on the bench) makes one Router per driver with New and calls
+// one method for each thing that happens: ListBegins, Listed, ListEnds, Take, Ended, Probed, Told, ClientLeft
+// and Wake. The Router acts by calling the host (driver.Host). docs/design.md tells what the design settles.
 package rules
 
 import (
@@ -73,7 +72,7 @@
 	group                     *group
 	listed, drains, sendable  bool          // drains: seen draining since its latest start
 	missed                    bool          // its latest single RPC got no answer in time
-	started, doubtAt          time.Duration // the latest start that the list told; when it dropped the member
+	started, doubtAt, asideAt time.Duration // the latest start that was listed; when it was dropped, set aside
 	pos, posAt                time.Duration // it has applied all commits up to pos; when that was told
 	replicaAt                 time.Duration // latest proof that it is a replica
 	heard                     time.Duration // latest answer, or start of being busy
@@ -353,7 +352,7 @@
 }
 
 // coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
-// from what warm ones answer. Where that is less than one RPC a window, the dice let one through in some windows.
+// from what warm ones answer. Where that is less than one RPC a window, the dice let one through in some.
 func (r *Router) coldRoom(m *member, work float64, now time.Duration) bool {
 	if !r.cold(m, now) {
 		return true
@@ -589,8 +588,8 @@
 			m.load, m.loadAt = r.loadOf(m, now)+q.method.usual.Seconds(), now
 		}
 		if m.trickle > 0 { // one more for each that goes well doubles it each time around
-			if m.trickle++; m.trickle > trusted {
-				m.trickle = 0
+			if m.trickle++; m.trickle > trusted || c.sent < m.asideAt {
+				m.trickle = 0 // what it held is answered after all: it had only paused
 			}
 		}
 	case driver.Miss, driver.Full:
@@ -630,6 +629,7 @@
 // setAside leaves a member that does not answer a trickle, which finds the first one back of a whole group.
 func (r *Router) setAside(m *member, now time.Duration, why string) {
 	if m.trickle == 0 {
+		m.asideAt = now
 		r.host.Log(fmt.Sprintf("member %012x set aside: it %s", uint64(m.id), why))
 	}
 	if m.trickle /= 2; m.trickle == 0 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -149,6 +149,27 @@
 	}
 }
 
+// Whoever answers what it held when it was set aside had only paused.
+func TestMemberThatPausedIsTrustedAtOnce(t *testing.T) {
+	w := settled(t, "wait")
+	m := w.r.members[w.order[4]]
+	for i := 0; i < 400 && m.trickle == 0; i++ {
+		w.fated(1, 5*ms, func(q *ask) driver.Outcome {
+			if q.to == m.id {
+				return lost
+			}
+			return driver.OK
+		}, 2)
+	}
+	held := slices.Clone(w.open)
+	if m.trickle == 0 || w.rpcs[held[0]].to != m.id {
+		t.Fatal("it is not set aside")
+	}
+	if w.end(held[0], driver.OK); m.trickle != 0 {
+		t.Fatalf("it gets %d RPCs at a time", m.trickle)
+	}
+}
+
 // The list drops everybody, then an old one names a member that has drained. The host checks rule 3.
 func TestAnUntrueListStopsNoServiceWhereOnlyDrainingBinds(t *testing.T) {
 	w := settled(t, "none", "rules.only_draining_binds=true")
