--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -29,7 +29,7 @@
 	token            time.Duration
 	open, last       int // call-outs still out: at most one here; number of the last
 	to               driver.Member
-	sentAt           time.Duration
+	sentAt, over     time.Duration // over: when the latest call-out is waited for no more
 	ran              bool
 	ranAt            time.Duration
 	ended, cancelled bool
@@ -183,7 +183,10 @@
 	}
 	n.sent, n.work = append(n.sent, w.now), append(n.work, w.r.methods[q.method].usual.Seconds())
 	w.cold(to)
-	q.open, q.last, q.to, q.sentAt = 1, q.last+1, to, w.now
+	q.open, q.last, q.to, q.sentAt, q.over = 1, q.last+1, to, w.now, q.until
+	if timeout > 0 {
+		q.over = min(q.until, w.now+timeout)
+	}
 	w.open = append(w.open, id)
 }
 
@@ -270,7 +273,7 @@
 			if q := w.rpcs[id]; q.cancelled {
 				q.cancelled = false
 				w.end(id, driver.Cancelled)
-			} else if w.now >= q.until {
+			} else if w.now >= q.over {
 				w.end(id, driver.TimedOut)
 			}
 		}
