--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -637,6 +637,11 @@
 	if got := c.answer(); got != "closed" {
 		t.Errorf("the client is still heard: %s", got)
 	}
+	c = dial(t, d.at) // who is still sending hears it too
+	go c.Write(append(pgwire.AppendHead(nil, 'Q', 60<<20), make([]byte, 60<<20)...))
+	if got := c.answer(); got != unclear+"closed" {
+		t.Errorf("a value of 60 MB: %s", got)
+	}
 	for what, bytes := range map[string][]byte{
 		"a length that cannot be": {'Q', 255, 255, 255, 255}, "another message": {'P', 0, 0, 0, 4},
 		"a text without end": {'Q', 0, 0, 0, 5, 'x'}, "a text of nothing": {'Q', 0, 0, 0, 4},
