--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -219,7 +219,7 @@
 		c.fail("08P01", err.Error())
 		return len(in)
 	}
-	if !served(kind) {
+	if !spoken(kind) {
 		c.fail("08P01", "only simple queries are served")
 		return len(in)
 	}
@@ -238,14 +238,14 @@
 	return c.query(text, size)
 }
 
-// served tells whether a message of the kind is; 0 stands for one whose head is not whole.
-func served(kind byte) bool { return kind == 'Q' || kind == 'X' || kind == 0 }
+// spoken tells whether messages of the kind are served; 0 stands for one whose head is not whole.
+func spoken(kind byte) bool { return kind == 'Q' || kind == 'X' || kind == 0 }
 
 // foresee looks behind the RPC that is served: what cannot be read there ends the connection at once.
 func (c *client) foresee(in []byte) {
 	for c.checked < len(in) {
 		kind, _, size, err := pgwire.Next(in[c.checked:])
-		if err != nil || !served(kind) {
+		if err != nil || !spoken(kind) {
 			c.fail("08P01", "what came behind the query cannot be read")
 			return
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -228,18 +228,21 @@
 		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "site.json")
-	os.WriteFile(file, fmt.Appendf(nil, `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+	for range 5 { // an address that was free may have been taken meanwhile
+		os.WriteFile(file, fmt.Appendf(nil, `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"peer_listen":"%s","peers":["127.0.0.1:9"],"peers_all":"127.0.0.1:9",
 "known":%s,"settings":%s}`, freeAddress(t), discovery, sockets+len(open), freeAddress(t), known, settings), 0o600)
-	site, err := ReadSite(file, func(string) string { return "" })
-	if err != nil {
-		t.Fatal(err)
-	}
-	n, err := New(site)
-	if err != nil {
-		t.Fatal(err)
+		site, failed := ReadSite(file, func(string) string { return "" })
+		if failed != nil {
+			t.Fatal(failed)
+		}
+		var n *Node
+		if n, err = New(site); err == nil {
+			return n
+		}
 	}
-	return n
+	t.Fatal(err)
+	return nil
 }
 
 func run(t *testing.T, n *Node) *running {
