The cost of an RPC no longer grows with what a member holds; a benchmark of the whole driver

Need: with members that answer at once a driver did 42,000 RPCs a second with 16 clients but 29,000 with 200, and the CPU of an RPC grew from 22 to 32 us. A profile shows the walk of learn over all that is out at the member, predicting each anew, math.Exp several times an RPC, and read buffers made anew beyond 64.

Change: what a member holds is a chain in the order of sending (internal/chain), so that leaving costs the same however many there are, and only what is old enough to be overtaken is looked at. What fades is kept for the moment that several ask about. Spare read buffers go by the memory limit. The newest settled connection is found by bisection.

--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -24,7 +24,7 @@
 
 const (
 	common = 8 << 10 // bytes of a read buffer
-	spares = 64      // of them that are kept for the next
+	spared = 4       // the part of the bytes for long messages that unused read buffers may take
 )
 
 // Stream is one TCP connection.
@@ -232,7 +232,7 @@
 func (s *Stream) release() {
 	l := s.loop
 	if cap(s.buffer) == common {
-		if len(l.spare) < spares {
+		if len(l.spare) < max(l.budget/spared/common, 1) {
 			l.spare = append(l.spare, s.buffer[:0])
 		}
 	} else if s.buffer != nil {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -10,6 +10,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -205,10 +206,8 @@
 // member may have closed it.
 func (p *Pool) newest(m *member) *conn {
 	for len(m.idle) > 0 {
-		i := len(m.idle) - 1
-		for i > 0 && p.loop.Now()-m.idle[i].since < settled {
-			i--
-		}
+		unsettled := sort.Search(len(m.idle), func(i int) bool { return p.loop.Now()-m.idle[i].since < settled })
+		i := max(unsettled-1, 0)
 		k := m.idle[i]
 		m.idle = slices.Delete(m.idle, i, i+1)
 		if p.loop.Now()-k.since < p.idleFor && k.stream.Alive() {
--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"passtack/internal/pgwire"
+)
+
+// quickMember is one that answers as soon as it is asked.
+func quickMember(b testing.TB, role string) net.Addr {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in, began := make([]byte, 4096), false
+				for {
+					if _, err := c.Read(in); err != nil {
+						return
+					}
+					if !began {
+						began = true
+						c.Write(pgwire.AppendWelcome(nil, 1))
+						continue
+					}
+					c.Write(pgwire.AppendReady(note(rows("value"), role)))
+				}
+			}()
+		}
+	}()
+	return l.Addr()
+}
+
+// spent is the CPU time of a thread of this process.
+func spent(b *testing.B, thread int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/self/task/%d/schedstat", thread))
+	if err != nil {
+		b.Skip("the system does not tell a thread's CPU time")
+	}
+	nanos, _ := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+	return time.Duration(nanos)
+}
+
+// serveOnThread runs the driver on a thread of its own and names it.
+func serveOnThread(b *testing.B, n *Node) (thread int) {
+	named := make(chan int)
+	done := make(chan bool)
+	go func() {
+		runtime.LockOSThread()
+		named <- unix.Gettid()
+		n.loop.Run(func() {})
+		close(done)
+	}()
+	b.Cleanup(func() {
+		n.loop.Stop()
+		n.loop.Ring()
+		<-done
+	})
+	return <-named
+}
+
+// The whole driver with members that answer at once: its CPU time an RPC should not grow with how many clients ask.
+func BenchmarkDriver(b *testing.B) {
+	for _, clients := range []int{1, 16, 200, 1000} {
+		b.Run(fmt.Sprint(clients), func(b *testing.B) {
+			var targets []string
+			for i := range 4 {
+				role := map[bool]string{true: "leader", false: "follower"}[i == 0]
+				targets = append(targets, target(i, 0, quickMember(b, role), "in_service"))
+			}
+			n := build(b, "", 8192, listOf(1, true, targets...), settings)
+			thread := serveOnThread(b, n)
+			var ready, all sync.WaitGroup
+			start := make(chan bool)
+			share := b.N/clients + 1
+			for i := range clients {
+				ready.Add(1)
+				all.Go(func() {
+					c := dial(b, n.site.Listen.String())
+					method := "look"
+					if i%4 == 0 && clients > 1 {
+						method = "order"
+					}
+					query := asQuery(statement(fmt.Sprintf("b%d", i), method, 2000, 0))
+					for range 20 { // until everybody is known
+						c.Write(query)
+						c.answer()
+					}
+					ready.Done()
+					<-start
+					in, end := make([]byte, 4096), pgwire.AppendReady(nil)
+					for range share {
+						c.Write(query)
+						for got := 0; ; {
+							k, err := c.Read(in[got:])
+							if err != nil {
+								b.Error(err)
+								return
+							}
+							if got += k; bytes.HasSuffix(in[:got], end) {
+								break
+							}
+						}
+					}
+				})
+			}
+			ready.Wait()
+			before, began := spent(b, thread), time.Now()
+			b.ReportAllocs()
+			b.ResetTimer()
+			close(start)
+			all.Wait()
+			b.StopTimer()
+			total := float64(share * clients)
+			b.ReportMetric(float64(spent(b, thread)-before)/total/1000, "cpu_µs/RPC")
+			b.ReportMetric(total/time.Since(began).Seconds(), "RPC/s")
+		})
+	}
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -64,7 +64,7 @@
 	return head[0], body, err
 }
 
-func startMember(t *testing.T, act func(c net.Conn, q *query) bool) *member {
+func startMember(t testing.TB, act func(c net.Conn, q *query) bool) *member {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -199,7 +199,7 @@
 "report":{"columns":["x0","x1","load_share"],"how":"inline"},
 "rules":{"cold_us":16000000,"drain_grace_us":250000,"fall_multiple":4.0,"start_capacity":0.25,"tip_after_us":1000000}}`
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -219,7 +219,7 @@
 	return run(t, build(t, discovery, sockets, known, settings))
 }
 
-func build(t *testing.T, discovery string, sockets int, known, settings string) *Node {
+func build(t testing.TB, discovery string, sockets int, known, settings string) *Node {
 	if discovery == "" {
 		discovery = freeAddress(t)
 	}
@@ -268,7 +268,7 @@
 	r *bufio.Reader
 }
 
-func dial(t *testing.T, at string) *client {
+func dial(t testing.TB, at string) *client {
 	c, err := net.Dial("tcp", at)
 	if err != nil {
 		t.Fatal(err)
@@ -318,7 +318,7 @@
 	}
 }
 
-func (c *client) ask(t *testing.T, text string) string {
+func (c *client) ask(t testing.TB, text string) string {
 	t.Helper()
 	c.Write(asQuery(text))
 	return c.answer()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"passtack/driver"
+	"passtack/internal/chain"
 	"passtack/internal/due"
 	"passtack/internal/pcg"
 	"passtack/internal/terms"
@@ -64,22 +65,24 @@
 	usual, timedAt, tryLasts        time.Duration // latency of late; when seen; length of a try
 	trySure                         int           // times seen so, less times not
 	utility, late                   float64
+	fades                           fade
 }
 
 type member struct {
 	id                        driver.Member
 	zone                      driver.Zone
 	group                     *group
-	listed, drains, sendable  bool          // drains: seen draining since its latest start
-	missed                    bool          // its latest single RPC got no answer in time
-	started, doubtAt, asideAt time.Duration // the latest start that was listed; when it was dropped, set aside
-	pos, posAt                time.Duration // it has applied all commits up to pos; when that was told
-	replicaAt                 time.Duration // latest proof that it is a replica
-	heard                     time.Duration // latest answer, or start of being busy
-	ratio, depth              float64       // its latencies against the usual; call-outs out then
-	fails                     float64       // part of its latest call-outs that found no connection or lost it
-	load, dice                float64       // recent seconds of work: sent to it while cold, else answered
-	out                       []*rpc
+	listed, drains, sendable  bool              // drains: seen draining since its latest start
+	missed                    bool              // its latest single RPC got no answer in time
+	started, doubtAt, asideAt time.Duration     // the latest start that was listed; when it was dropped, set aside
+	pos, posAt                time.Duration     // it has applied all commits up to pos; when that was told
+	replicaAt                 time.Duration     // latest proof that it is a replica
+	heard                     time.Duration     // latest answer, or start of being busy
+	ratio, depth              float64           // its latencies against the usual; call-outs out then
+	fails                     float64           // part of its latest call-outs that found no connection or lost it
+	load, dice                float64           // recent seconds of work: sent to it while cold, else answered
+	out                       chain.Chain[*rpc] // in the order in which they were sent
+	fades                     fade
 	trickle                   int           // call-outs it may hold, 0: trusted
 	pause, nextTry, diceAt    time.Duration // between trickles that fail; diceAt: when the dice were cast
 	timedAt, loadAt, probedAt time.Duration // latest latency, work and probe
@@ -112,6 +115,7 @@
 	out                        int           // call-outs without an outcome yet
 	ranAt, holdUntil           time.Duration // send of the first call-out that may have run; end of its wait
 	mayHaveRun, held, answered bool
+	place                      chain.Link[*rpc] // among what its member holds
 }
 
 // Router is the decision module of one driver.
@@ -133,8 +137,9 @@
 	tick                 time.Duration
 	woken, halted, every time.Duration // latest timer; latest end of a halt of this driver; between latencies
 	beatAt, paced        time.Duration // next look at every member; when pace was learned
-	pace, failing        float64       // latest latencies against the usual; part of the members that fail
-	probes, borne        float64       // that may be sent now; what warm members bear from here, as member.load
+	fades                fade
+	pace, failing        float64 // latest latencies against the usual; part of the members that fail
+	probes, borne        float64 // that may be sent now; what warm members bear from here, as member.load
 	held                 []*rpc
 }
 
@@ -188,7 +193,7 @@
 		return
 	}
 	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until}
-	r.rpcs[id], q.token, q.tenant = q, never, whose
+	r.rpcs[id], q.token, q.tenant, q.place.Value = q, never, whose, q
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
 	q.wanted = r.firstSeen(q.method, now, until, repeat)
@@ -303,13 +308,13 @@
 
 func (r *Router) send(q *rpc, to *member, timeout time.Duration, scout bool) {
 	now := r.host.Now()
-	if len(to.out) == 0 {
+	if to.out.Count() == 0 {
 		to.heard = max(to.heard, now)
 	}
-	c := callOut{to: to, sent: now, depth: len(to.out), turned: never, open: true, scout: scout}
+	c := callOut{to: to, sent: now, depth: to.out.Count(), turned: never, open: true, scout: scout}
 	q.calls = append(q.calls, c)
 	q.out++
-	to.out = append(to.out, q)
+	to.out.Push(&q.place)
 	if r.cold(to, now) {
 		to.load, to.loadAt = r.loadOf(to, now)+q.method.usual.Seconds(), now
 	}
@@ -334,8 +339,8 @@
 
 // open tells whether a member may get this RPC now: it is ready, its trickle and its cold budget have room.
 func (r *Router) open(m *member, q *rpc, now time.Duration) bool {
-	if !m.sendable || m.doubted() && len(m.out) > 0 ||
-		m.trickle > 0 && (len(m.out) >= m.trickle || now < m.nextTry) {
+	if !m.sendable || m.doubted() && m.out.Count() > 0 ||
+		m.trickle > 0 && (m.out.Count() >= m.trickle || now < m.nextTry) {
 		return false
 	}
 	lately := func(c callOut) bool { return c.to == m && c.turned > now-askAgain*time.Duration(len(q.calls)) }
@@ -390,7 +395,7 @@
 	all := q.group.members
 	for n, start := 0, r.chance.Below(len(all)+1); n < len(all); n++ {
 		m := all[(start+n)%len(all)]
-		unheard := len(m.out) == 0 && now-m.posAt > askAgain
+		unheard := m.out.Count() == 0 && now-m.posAt > askAgain
 		mayAsk := r.checks && unheard && now-m.posAt > lastPause
 		reach := m.pos
 		if r.checks && m.posAt != never { // it turns the read away if it fell behind meanwhile
@@ -416,24 +421,41 @@
 // predict tells how long the method would take at the member, fuller now or emptier than it was.
 func (r *Router) predict(m *member, meth *method) time.Duration {
 	now := r.host.Now()
-	pace := 1 + (r.pace-1)*faded(now-r.paced)
-	return time.Duration(float64(meth.usual) * pace * faded(now-meth.timedAt-fading) * r.slowness(m, now))
+	return r.predictAt(meth, r.slowness(m, now), now)
+}
+
+func (r *Router) predictAt(meth *method, slowness float64, now time.Duration) time.Duration {
+	pace := 1 + (r.pace-1)*r.fades.of(now-r.paced)
+	return time.Duration(float64(meth.usual) * pace * meth.fades.of(now-meth.timedAt-fading) * slowness)
 }
 
 func (r *Router) slowness(m *member, now time.Duration) float64 {
-	return r.usually(m, now) * (float64(len(m.out)) + 1) / (m.depth + 1)
+	return r.usually(m, now) * (float64(m.out.Count()) + 1) / (m.depth + 1)
 }
 
 // usually is the member's ratio, of which an old one fades into 1, more slowly where members are met seldom:
 // the longest unseen would look best otherwise, and no jam would show.
 func (r *Router) usually(m *member, now time.Duration) float64 {
 	longer := max(1, float64(2*len(r.all))*r.every.Seconds()/fading.Seconds())
-	return 1 + (m.ratio-1)*faded(time.Duration(float64(now-m.timedAt)/longer))
+	return 1 + (m.ratio-1)*m.fades.of(time.Duration(float64(now-m.timedAt)/longer))
 }
 
 // faded is what is left of an old latency: without it a small driver sheds for good after a short jam.
 func faded(age time.Duration) float64 { return math.Exp(-float64(max(age, 0)) / float64(fading)) }
 
+// fade keeps what is left at the age that was asked for last: one RPC asks for the same several times.
+type fade struct {
+	age  time.Duration
+	left float64 // 0: not yet asked for
+}
+
+func (f *fade) of(age time.Duration) float64 {
+	if f.left == 0 || f.age != age {
+		f.age, f.left = age, faded(age)
+	}
+	return f.left
+}
+
 // cautious is the time that must be left for an RPC to be taken: latencies scatter, and what brings less for
 // its work makes room first. What brings most needs no time to spare where this driver holds nothing.
 func (r *Router) cautious(to *member, meth *method, utility float64) time.Duration {
@@ -444,7 +466,7 @@
 		}
 	}
 	rank := math.Pow(most*meth.usual.Seconds()/utility, ranking)
-	if len(to.out) == 0 && rank < 1.01 {
+	if to.out.Count() == 0 && rank < 1.01 {
 		return r.predict(to, meth)
 	}
 	return time.Duration(float64(r.predict(to, meth)) * scatter * rank)
@@ -520,8 +542,8 @@
 	c.open = false
 	q.out--
 	m := c.to
-	lost := !slices.Contains(m.out, q) && !m.missed
-	m.out = slices.DeleteFunc(m.out, func(o *rpc) bool { return o == q })
+	lost := !q.place.In(&m.out) && !m.missed
+	q.place.Leave()
 	if c.scout {
 		q.group.scouts--
 	}
@@ -578,9 +600,7 @@
 	switch how {
 	case driver.OK:
 		// What others overtook by far was probably lost on its way back: it is neither slow nor held any more.
-		m.out = slices.DeleteFunc(m.out, func(o *rpc) bool {
-			return c.sent > o.calls[len(o.calls)-1].sent+2*r.predict(m, o.method)
-		})
+		r.overtaken(m, c.sent, now)
 		r.latency(q.method, m, took)
 		m.depth += smoothing * (float64(c.depth) - m.depth)
 		m.heard, m.missed, m.fails, m.pause = now, false, m.fails*(1-memory), askAgain
@@ -611,6 +631,23 @@
 	}
 }
 
+// overtaken lets go what was sent to the member long before what it has just answered.
+func (r *Router) overtaken(m *member, sent, now time.Duration) {
+	slowness, least := r.slowness(m, now), time.Duration(math.MaxInt64)
+	for _, meth := range r.methods {
+		least = min(least, r.predictAt(meth, slowness, now))
+	}
+	for at := m.out.First(); at != nil && at.Value.lastSent()+2*least < sent; {
+		q, next := at.Value, at.Next()
+		if q.lastSent()+2*r.predictAt(q.method, slowness, now) < sent {
+			at.Leave()
+		}
+		at = next
+	}
+}
+
+func (q *rpc) lastSent() time.Duration { return q.calls[len(q.calls)-1].sent }
+
 func (r *Router) latency(meth *method, m *member, took time.Duration) {
 	now := r.host.Now()
 	if r.halted == now {
@@ -735,13 +772,14 @@
 		r.host.Probe(m.id)
 	}
 	patience := time.Duration(0)
-	for _, q := range m.out {
-		patience = max(patience, silence*q.method.usual)
+	for at := m.out.First(); at != nil; at = at.Next() {
+		patience = max(patience, silence*at.Value.method.usual)
 	}
 	silent := m.trickle == 0 && now-max(m.heard, r.halted) > patience
-	if silent && len(m.out) == 1 && !m.missed {
-		m.missed, m.out = true, nil
-	} else if silent && len(m.out) > 0 {
+	if silent && m.out.Count() == 1 && !m.missed {
+		m.missed = true
+		m.out.First().Leave()
+	} else if silent && m.out.Count() > 0 {
 		r.setAside(m, now, "has gone silent")
 	}
 }
@@ -788,7 +826,7 @@
 
 // forgotten drops a member that was off the list and silent for long, but no drain that may still bind.
 func (r *Router) forgotten(m *member) bool {
-	if m.listed || len(m.out) > 0 || r.lax && m.drains || r.host.Now()-max(m.doubtAt, m.posAt) < absent[r.lax] {
+	if m.listed || m.out.Count() > 0 || r.lax && m.drains || r.host.Now()-max(m.doubtAt, m.posAt) < absent[r.lax] {
 		return false
 	}
 	delete(r.members, m.id)
