A seam for a second protocol: fronts and member sides stand behind small interfaces

Need: node named clients.Front and the pool wrote pgwire itself, so OData had nowhere to stand.

Change: driver/seam.go holds what a front and a side are to the host. What every front needs once (who is connected and waits, who is let go, shares of descriptors and bytes, open ids, sessions) is internal/front, with PostgreSQL's protocol in front/pg. What every protocol with members needs once (connections, how far a call-out came) is internal/member, which asks a Tongue to word and to read; PostgreSQL's is member/pg. An RPC keeps the front it came by and the side it goes out on.

--- /dev/null
+++ b/internal/front/room.go
@@ -0,0 +1,280 @@
+// Package front is what every protocol with clients needs once: who is connected, who waits for what and for how
+// long, who is let go when others need the room, and which ids are being served.
+package front
+
+import (
+	"hash/fnv"
+	"net/netip"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/chain"
+	"passtack/internal/loop"
+	"passtack/internal/slots"
+)
+
+const (
+	patience = 2 * time.Second        // a client that says or reads nothing, or half of it, is kept so long
+	hesitant = 200 * time.Millisecond // since its start a client may take to ask, before it makes room for others
+)
+
+// Telling is the time which it may take to tell a client, and by which the kernel rounds.
+const Telling = 10 * time.Millisecond
+
+// Ids are those of the RPCs that clients wait for, at all fronts together.
+type Ids map[string]bool
+
+// SessionOf names the session by its key, at every front alike, so that a client may move between them.
+func SessionOf(key []byte) driver.Session {
+	hash := fnv.New64a()
+	hash.Write(key)
+	return driver.Session(max(1, hash.Sum64()))
+}
+
+// Guest is one connection's protocol. Asking tells that something of it is served; Half tells the client that half of
+// something came and no more, and ends the connection.
+type Guest interface {
+	loop.Owner
+	Asking() bool
+	Half()
+}
+
+// Seat is what the room knows of one connection.
+type Seat struct {
+	Stream *loop.Stream
+	Handle slots.Handle
+	Gone   bool // nothing more is read or said
+	Begun  bool // half of a message has come
+	Asked  bool // it has asked for something already
+
+	room   *Room
+	guest  Guest
+	idle   time.Duration // since when nothing is asked, or half of it
+	unsent int           // bytes that it had not read when last looked at
+	place  chain.Link[*Seat]
+}
+
+// Room holds the connections of one listener.
+type Room struct {
+	loop     *loop.Loop
+	count    func(what string)
+	seats    slots.Table[*Seat]
+	listener *loop.Listener
+	leaving  bool                  // connections end between RPCs
+	waiting  [2]chain.Chain[*Seat] // those that nothing is served for, in the order of idle: who never asked, who has
+	asking   int                   // those that something is served for
+	patrols  bool                  // a look at the first of them is due
+	welcome  func(seat *Seat) Guest
+}
+
+// Listen takes connections in. Each brings no more than most bytes that are not taken; welcome makes its guest.
+func Listen(l *loop.Loop, at netip.AddrPort, most int, door loop.Door, count func(what string),
+	welcome func(*Seat) Guest) (*Room, error) {
+	r := &Room{loop: l, count: count, welcome: welcome}
+	var err error
+	r.listener, err = l.Listen(at, most, door, r.accept, r.yield)
+	return r, err
+}
+
+// Door is the room's, by which limits of what it holds are changed.
+func (r *Room) Door() *loop.Door { return &r.listener.Door }
+
+func (r *Room) accept(open func(loop.Owner) *loop.Stream) {
+	s := &Seat{room: r}
+	s.place.Value = s
+	s.guest = r.welcome(s)
+	if s.Stream = open(s.guest); s.Stream == nil {
+		return
+	}
+	if s.Handle = r.seats.Put(s); s.Handle == 0 {
+		s.Stream.Close()
+		return
+	}
+	r.count("clients_accepted")
+	s.Wait()
+}
+
+func (s *Seat) chain() *chain.Chain[*Seat] {
+	if s.Asked {
+		return &s.room.waiting[1]
+	}
+	return &s.room.waiting[0]
+}
+
+// Wait puts the client behind the others that wait, from now on.
+func (s *Seat) Wait() {
+	r := s.room
+	s.idle, s.Begun = r.loop.Now(), false
+	s.chain().Push(&s.place)
+	if !r.patrols {
+		r.patrols = true
+		r.loop.At(s.idle+patience, r.patrol)
+	}
+}
+
+// Serve tells that something is served for the client; Served that nothing is any more, and what it was told.
+func (s *Seat) Serve() {
+	s.place.Leave()
+	s.Asked = true
+	s.room.asking++
+}
+
+func (s *Seat) Served() {
+	s.room.asking--
+	s.unsent = 0
+}
+
+// Hears tells whether the client may be read from: who does not read gets nothing more to read. Where it may, it
+// has begun to ask.
+func (s *Seat) Hears() bool {
+	if s.Stream.Unsent() > 0 {
+		return false
+	}
+	if s.Asked && !s.Begun {
+		s.Wait()
+	}
+	s.Begun = true
+	return true
+}
+
+// patrol ends the connections of those who were waited for too long.
+func (r *Room) patrol() {
+	r.patrols = false
+	for i := range r.waiting {
+		r.lookOver(&r.waiting[i])
+	}
+}
+
+func (r *Room) lookOver(waiting *chain.Chain[*Seat]) {
+	for at := waiting.First(); at != nil; at = waiting.First() {
+		s := at.Value
+		if s.idle+patience > r.loop.Now() {
+			if !r.patrols {
+				r.patrols = true
+				r.loop.At(s.idle+patience, r.patrol)
+			}
+			return
+		}
+		at.Leave()
+		switch left := s.Stream.Unsent(); {
+		case left > 0 && (s.unsent == 0 || left < s.unsent): // it reads, if slowly
+			s.unsent = left
+			s.Wait()
+		case left > 0:
+			r.count("clients_stuck")
+			s.Stream.Close()
+			s.guest.Closed(nil)
+		case len(s.Stream.Unread()) > 0:
+			s.guest.Half()
+		case s.Stream.Alive():
+			r.count("clients_closed_idle")
+			s.Close()
+		default: // something has come just now
+			s.Wait()
+		}
+	}
+}
+
+// Leave forgets a connection that is gone.
+func (s *Seat) Leave() {
+	s.room.seats.Drop(s.Handle)
+	s.place.Leave()
+	s.Gone = true
+}
+
+// Close ends the connection once what was said has been written.
+func (s *Seat) Close() {
+	s.Gone = true
+	s.place.Leave()
+	s.Stream.CloseWhenSent()
+}
+
+// Rest ends the connection if nothing more is served, and tells whether it did; else more may have come behind what
+// was answered, and others may need the room.
+func (s *Seat) Rest() (ended bool) {
+	r := s.room
+	if r.leaving && len(s.Stream.Unread()) == 0 && s.Stream.Alive() {
+		s.Close()
+		return true
+	}
+	r.loop.Later(s.Stream.Look)
+	r.spread()
+	return false
+}
+
+// quiet tells of a client that asks nothing and has nothing to hear.
+func (s *Seat) quiet() bool {
+	return !s.guest.Asking() && !s.Gone && len(s.Stream.Unread()) == 0 && s.Stream.Unsent() == 0 && s.Stream.Alive()
+}
+
+// spread ends the connection that has asked nothing for longest once those who ask hold a fifth of the descriptors, or
+// as much of this room's part. A third is all that they may, some never close, and many may come at once: others would
+// find none left.
+func (r *Room) spread() {
+	if r.waiting[1].Count()+r.asking <= r.listener.Allowed()*8/25 {
+		return
+	}
+	for at := r.waiting[1].First(); at != nil; at = at.Next() {
+		if s := at.Value; s.quiet() {
+			r.count("clients_closed_idle")
+			s.Close()
+			return
+		}
+	}
+}
+
+// yield ends the connection that has asked nothing for longest, of those that never have if there is one. Those that
+// have yet to ask get a moment: their query may be on its way. The others get one unless that is urgent.
+func (r *Room) yield(urgent bool) {
+	for asked := range r.waiting {
+		for at := r.waiting[asked].First(); at != nil; at = at.Next() {
+			s := at.Value
+			if r.loop.Now()-s.idle < hesitant && !(asked == 1 && urgent) {
+				break
+			}
+			if s.quiet() {
+				r.count("clients_closed_idle")
+				s.Close()
+				return
+			}
+		}
+	}
+}
+
+// Leave ends connections between RPCs from now on; new ones are still served.
+func (r *Room) Leave(ready func(Guest) bool) {
+	r.leaving = true
+	r.seats.Each(func(_ slots.Handle, s *Seat) {
+		if ready(s.guest) && s.quiet() {
+			s.Close()
+		}
+	})
+}
+
+// Shut takes no new connections; those that wait to be taken in still are.
+func (r *Room) Shut() { r.listener.Drain() }
+
+// Sweep ends what has asked nothing for some time, and what has not moved for longer. It counts the clients that
+// remain.
+func (r *Room) Sweep(idle, patience time.Duration) int {
+	r.seats.Each(func(h slots.Handle, s *Seat) {
+		if s.quiet() && r.loop.Now()-s.idle >= idle {
+			s.Close()
+		} else if !s.guest.Asking() && r.loop.Now()-s.idle > patience {
+			s.Stream.Close()
+			r.seats.Drop(h)
+		}
+	})
+	return r.seats.Count()
+}
+
+// Guest gives who has the handle, nil where nobody does.
+func (r *Room) Guest(h slots.Handle) Guest {
+	if s := r.seats.Get(h); s != nil {
+		return s.guest
+	}
+	return nil
+}
+
+// Count tells how many are connected.
+func (r *Room) Count() int { return r.seats.Count() }
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -180,14 +180,12 @@
 		s.buffer, s.taken = s.buffer[:copy(s.buffer, s.buffer[s.taken:])], 0
 		return true
 	}
-	size, budget := min(2*cap(s.buffer), s.most), s.loop.budget
-	if s.from != nil { // who comes in leaves as much for what was asked for
-		budget /= 2
-	}
-	if s.loop.larger+size-cap(s.buffer) > budget {
+	size := min(2*cap(s.buffer), s.most)
+	more := size - cap(s.buffer)
+	if s.loop.larger+more > s.loop.budget || s.from != nil && !s.from.bears(more) {
 		return false
 	}
-	s.loop.weigh(size - cap(s.buffer))
+	s.weigh(more)
 	larger := make([]byte, len(s.buffer), size)
 	copy(larger, s.buffer)
 	s.buffer = larger
@@ -236,11 +234,19 @@
 			l.spare = append(l.spare, s.buffer[:0])
 		}
 	} else if s.buffer != nil {
-		l.weigh(common - cap(s.buffer))
+		s.weigh(common - cap(s.buffer))
 	}
 	s.buffer, s.taken = nil, 0
 }
 
+// weigh counts what this stream's buffers take past the common size.
+func (s *Stream) weigh(more int) {
+	if s.from != nil {
+		s.from.larger += more
+	}
+	s.loop.weigh(more)
+}
+
 // weigh counts what buffers take past the common size; what gets lighter lets others read on.
 func (l *Loop) weigh(more int) {
 	if l.larger += more; more >= 0 {
@@ -263,7 +269,7 @@
 	}
 	if more := heavy - s.heavy; more != 0 {
 		s.heavy = heavy
-		s.loop.weigh(more)
+		s.weigh(more)
 	}
 }
 
@@ -388,8 +394,36 @@
 	s.release()
 }
 
+// Door bounds what the connections of one listener hold. In its zero value they take no more than five eighths of the
+// descriptors, as what they want needs others, and half of the bytes of long messages.
+type Door struct {
+	Descriptors func(most int) int // of most, how many may be held now
+	Bytes       func(most int) int // of most, how many bytes past the common size
+}
+
+// Allowed tells how many descriptors may be held now.
+func (n *Listener) Allowed() int {
+	if n.Descriptors != nil {
+		return n.Descriptors(n.loop.most * 5 / 8)
+	}
+	return n.loop.most * 5 / 8
+}
+
+// bears tells whether the connections may hold more bytes: they leave as much for what was asked for.
+func (n *Listener) bears(more int) bool {
+	half := n.loop.budget / 2
+	if n.loop.larger+more > half {
+		return false
+	}
+	return n.Bytes == nil || n.larger+more <= n.Bytes(half)
+}
+
+// Held tells how many descriptors and bytes past the common size the connections hold.
+func (n *Listener) Held() (descriptors, bytes int) { return n.open, n.larger }
+
 // Listener hands over each connection that comes in.
 type Listener struct {
+	Door
 	loop   *Loop
 	fd     int
 	handle slots.Handle
@@ -397,12 +431,13 @@
 	accept func(open func(Owner) *Stream)
 	yield  func(urgent bool)
 	open   int // streams that came in here
+	larger int // bytes that their buffers take past the common size
 	paused bool
 }
 
-// Listen waits for connections at the address. Accept is called for each and names its owner. They take no more
-// than five eighths of the descriptors, as what they want needs others; near that yield should end one of them.
-func (l *Loop) Listen(at netip.AddrPort, most int, accept func(open func(Owner) *Stream),
+// Listen waits for connections at the address. Accept is called for each and names its owner. Near what the door
+// lets them hold yield should end one of them.
+func (l *Loop) Listen(at netip.AddrPort, most int, door Door, accept func(open func(Owner) *Stream),
 	yield func(urgent bool)) (*Listener, error) {
 	address, family := sockaddr(at)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
@@ -413,7 +448,7 @@
 	if err = unix.Bind(fd, address); err == nil {
 		err = unix.Listen(fd, 1024)
 	}
-	n := &Listener{loop: l, fd: fd, most: most, accept: accept, yield: yield}
+	n := &Listener{Door: door, loop: l, fd: fd, most: most, accept: accept, yield: yield}
 	if err == nil {
 		n.handle, err = l.add(fd, n, unix.EPOLLIN)
 	}
@@ -432,7 +467,7 @@
 // take takes newcomers in and tells whether there may be more.
 func (n *Listener) take() bool {
 	for range acceptsATurn {
-		if n.open >= n.loop.most*5/8 {
+		if n.open >= n.Allowed() {
 			n.yield(true)
 			n.pause()
 			return false
@@ -459,7 +494,7 @@
 			n.open++
 			return s
 		})
-		if n.open > n.loop.most/2 { // it takes a moment until the other side has seen its end
+		if n.open > n.Allowed()*4/5 { // it takes a moment until the other side has seen its end
 			n.yield(false)
 		}
 	}
--- a/internal/members/members.go
+++ b/internal/member/pool.go
@@ -1,32 +1,47 @@
-// Package members is the side of the driver that speaks with the members: connections, of which each
-// carries one call-out at a time, and what comes back on them.
-package members
+// Package member is what every protocol with members needs once: connections, of which each carries one call-out or
+// probe at a time, and how far a call-out had come when it ended. A Tongue speaks the protocol.
+package member
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"log"
-	"math"
 	"net/netip"
 	"slices"
 	"sort"
-	"strconv"
-	"strings"
 	"time"
 
 	"passtack/driver"
 	"passtack/internal/loop"
-	"passtack/internal/pgwire"
 	"passtack/internal/slots"
 )
 
-// Host is told how call-outs and probes end. The rows of an answer are good during the call only.
-type Host interface {
-	CallOutEnded(rpc driver.RPC, n int, from driver.Member, how driver.Outcome, took time.Duration,
-		pos time.Duration, role driver.Role, report []float64, rows [][]byte)
-	Probed(m driver.Member, ok bool, took time.Duration, report []float64)
-	Count(what string)
+// Tongue speaks one protocol. It keeps nothing of any connection.
+type Tongue interface {
+	// Hello opens a connection; where there is nothing to say it is ready at once.
+	Hello() []byte
+	// Call words the call-out for which so much time is left. The parts are good until the next call.
+	Call(ask *driver.Ask, left time.Duration) [][]byte
+	// Probe words a question that costs next to nothing.
+	Probe() []byte
+	// Hear reads what has come so far of one answer, or of the greeting where greeted is false.
+	Hear(in []byte, greeted, probing, ended bool, now time.Duration, into *Heard)
+	// Chat reads what may come on a connection that rests; where ok is false it is of no more use.
+	Chat(in []byte) (size int, ok bool)
+}
+
+// Heard is what has come of an answer.
+type Heard struct {
+	Size   int            // bytes of the whole answer; 0: more is to come
+	Begun  bool           // some of the answer proper has come
+	Spoilt bool           // it cannot be read
+	Failed bool           // an error has come, which holds although nothing more comes
+	How    driver.Outcome // of a whole answer, or of the error that has come
+	Last   bool           // the connection is of no more use
+	Role   driver.Role
+	Report []float64 // good until the next answer
+	Answer driver.Answer
 }
 
 // Reach is how far a call-out had come.
@@ -71,29 +86,31 @@
 // answer at one go.
 const stalled = 250 * time.Millisecond
 
-// ahead is how far a position may be told to be ahead of the clock, by its rounding.
-const ahead = time.Second
+// Ahead is how far a position may be told to be ahead of the clock, by its rounding.
+const Ahead = time.Second
 
 var (
 	errSlow    = errors.New("no answer in time")
 	errConnect = errors.New("the connection did not come up in time")
 	errGarbage = errors.New("an answer that cannot be read")
+
 	errStalled = errors.New("an answer that stopped short")
 )
 
-// Pool holds the connections to all members.
+// Most is the longest answer that is held.
+const Most = 1088<<10 + 1
+
+// Pool holds the connections to all members of one protocol.
 type Pool struct {
 	loop      *loop.Loop
-	host      Host
+	ledger    driver.Ledger
+	tongue    Tongue
 	members   map[driver.Member]*member
 	conns     slots.Table[*conn]
 	calls     slots.Table[*call]
 	connectIn time.Duration
 	idleFor   time.Duration // a member closes what was idle for so long
-	word      func(string) string
-	columns   []string
-	report    []float64
-	rows      [][]byte
+	heard     Heard
 }
 
 type member struct {
@@ -114,7 +131,7 @@
 	sent   time.Duration
 	until  time.Duration
 	conn   *conn
-	text   []byte // waits for the connection
+	ask    *driver.Ask // waits for the connection
 	due    loop.Due
 }
 
@@ -130,16 +147,15 @@
 	since   time.Duration
 	due     loop.Due // it must be up then, or go on with its answer
 	begun   bool
-	code    string // of the error that came
+	failed  bool // an error has come
+	how     driver.Outcome
 }
 
-// New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor; word
-// translates the names of a load report, whose columns are given.
-func New(l *loop.Loop, host Host, connectIn, idleFor time.Duration, columns []string,
-	word func(string) string) *Pool {
+// New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor.
+func New(l *loop.Loop, ledger driver.Ledger, tongue Tongue, connectIn, idleFor time.Duration) *Pool {
 	return &Pool{
-		loop: l, host: host, members: make(map[driver.Member]*member), connectIn: connectIn,
-		idleFor: idleFor - idleFor/8, columns: columns, word: word,
+		loop: l, ledger: ledger, tongue: tongue, members: make(map[driver.Member]*member), connectIn: connectIn,
+		idleFor: idleFor - idleFor/8,
 	}
 }
 
@@ -154,27 +170,26 @@
 	}
 }
 
-// CallOut sends the statement, whose time stands between its two parts. It ends with exactly one outcome,
+// CallOut sends what is asked, with the time that is left. It ends with exactly one outcome,
 // never at once.
-func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, until time.Duration,
-	before, after []byte) slots.Handle {
+func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, until time.Duration, ask *driver.Ask) uint32 {
 	now := p.loop.Now()
 	m := p.members[to]
 	c := &call{rpc: rpc, n: n, to: to, sent: now, until: until}
 	c.handle = p.calls.Put(c)
 	if c.handle == 0 || m == nil || until <= now {
-		p.loop.Later(func() { p.end(c, driver.Moot, 0, driver.Unknown, nil, nil) })
-		return c.handle
+		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
+		return uint32(c.handle)
 	}
 	c.due = p.loop.At(until, func() { p.expire(c.handle) })
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
-		k.write(before, after)
-		return c.handle
+		k.write(ask)
+		return uint32(c.handle)
 	}
-	c.text = append(append(append(c.text, before...), 0), after...)
+	c.ask = ask.Copy()
 	p.connect(c, m)
-	return c.handle
+	return uint32(c.handle)
 }
 
 // Probe asks the member nothing, to see how it is.
@@ -186,13 +201,13 @@
 	c := &call{probe: true, to: to, sent: now, until: now + p.connectIn}
 	c.handle = p.calls.Put(c)
 	if c.handle == 0 {
-		p.loop.Later(func() { p.end(c, driver.Moot, 0, driver.Unknown, nil, nil) })
+		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
 		return
 	}
 	c.due = p.loop.At(c.until, func() { p.expire(c.handle) })
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
-		k.ask()
+		k.probe()
 		return
 	}
 	p.connect(c, m)
@@ -220,7 +235,7 @@
 
 func (p *Pool) connect(c *call, m *member) {
 	k := &conn{pool: p, member: m, at: m.at, call: c, since: p.loop.Now()}
-	stream, err := p.loop.Dial(m.at, k, pgwire.Most+1)
+	stream, err := p.loop.Dial(m.at, k, Most)
 	if err == nil {
 		k.stream = stream
 		if k.handle = p.conns.Put(k); k.handle == 0 {
@@ -229,13 +244,15 @@
 		}
 	}
 	if err != nil {
-		p.host.Count("connects_failed")
+		p.ledger.Count("connects_failed")
 		p.loop.Later(func() { p.fail(c, Failure{NotConnected, false, err}) })
 		return
 	}
 	c.conn = k
-	p.host.Count("connects")
-	k.stream.Send(pgwire.AppendFirst(nil, "app", "shop"))
+	p.ledger.Count("connects")
+	if hello := p.tongue.Hello(); hello != nil {
+		k.stream.Send(hello)
+	}
 	k.due = p.loop.At(p.loop.Now()+p.connectIn, func() {
 		if p.conns.Get(k.handle) == k && !k.ready {
 			k.broken(errConnect)
@@ -243,7 +260,17 @@
 	})
 }
 
-func (k *conn) Opened() {}
+func (k *conn) Opened() {
+	if k.pool.tongue.Hello() == nil {
+		k.welcomed()
+	}
+}
+
+func (k *conn) welcomed() {
+	k.ready = true
+	k.pool.loop.Forget(k.due)
+	k.start()
+}
 
 func (k *conn) Panicked(cause error) { k.broken(cause) }
 
@@ -270,9 +297,17 @@
 	if c == nil {
 		return
 	}
+	if k.ready && k.written && cause == io.EOF { // it may be the end of an answer of no told length
+		h := &k.pool.heard
+		if k.hear(k.stream.Unread(), true); h.Size > 0 && !h.Spoilt {
+			k.call = nil
+			k.pool.end(c, h.How, h)
+			return
+		}
+	}
 	k.call = nil
-	if how := outcomeOf(k.code); k.code != "" && (k.ready || how == driver.Full) {
-		k.pool.end(c, how, 0, driver.Unknown, nil, nil)
+	if k.failed && (k.ready || k.how == driver.Full) {
+		k.pool.end(c, k.how, nil)
 		return
 	}
 	k.pool.fail(c, Failure{k.reached(), false, cause})
@@ -291,19 +326,14 @@
 }
 
 // write sends the call-out, with the time that is left for it.
-func (k *conn) write(before, after []byte) {
-	left := max(1, int64((k.call.until-k.pool.loop.Now())/time.Millisecond))
-	var room [32]byte
-	budget := strconv.AppendInt(room[8:8], left, 10)
-	head := pgwire.AppendHead(room[:0], 'Q', len(before)+len(budget)+len(after)+1)
-	k.begun, k.code, k.written = false, "", true
-	k.stream.Send(head, before, budget, after, []byte{0})
+func (k *conn) write(ask *driver.Ask) {
+	k.begun, k.failed, k.written = false, false, true
+	k.stream.Send(k.pool.tongue.Call(ask, max(k.call.until-k.pool.loop.Now(), time.Millisecond))...)
 }
 
-// ask sends the empty query.
-func (k *conn) ask() {
-	k.begun, k.code, k.written = false, "", true
-	k.stream.Send(append(pgwire.AppendHead(nil, 'Q', 1), 0))
+func (k *conn) probe() {
+	k.begun, k.failed, k.written = false, false, true
+	k.stream.Send(k.pool.tongue.Probe())
 }
 
 func (k *conn) start() {
@@ -314,11 +344,10 @@
 	case c == nil:
 		k.drop()
 	case c.probe:
-		k.ask()
+		k.probe()
 	default:
-		before, after, _ := bytes.Cut(c.text, []byte{0})
-		k.write(before, after)
-		c.text = nil
+		k.write(c.ask)
+		c.ask = nil
 	}
 }
 
@@ -344,89 +373,55 @@
 	})
 }
 
+// hear reads what has come of the answer. A wish for more leaves what holds of an error in any case.
+func (k *conn) hear(in []byte, ended bool) {
+	p := k.pool
+	h := &p.heard
+	*h = Heard{Begun: k.begun, Report: h.Report[:0], Answer: driver.Answer{Parts: h.Answer.Parts[:0]}}
+	p.tongue.Hear(in, k.ready, k.call != nil && k.call.probe, ended, p.loop.Now(), h)
+	k.begun, k.failed, k.how = h.Begun, h.Failed, h.How
+}
+
 // Input reads what has come so far; nothing is taken before the answer is whole, and nothing of one that turns
 // out spoilt is believed.
 func (k *conn) Input(in []byte) int {
 	p := k.pool
 	if k.ready && k.call == nil {
-		return k.chat(in)
-	}
-	p.rows, p.report = p.rows[:0], p.report[:0]
-	pos, role, code := time.Duration(0), driver.Unknown, ""
-	seen, at := byte(0), 0 // seen: the kind of the latest message of the answer proper
-	for seen != 'Z' {
-		kind, body, size, err := pgwire.Next(in[at:])
-		if err != nil {
-			k.broken(errGarbage)
-			return 0
-		}
-		if size == 0 {
-			if k.begun = k.begun || kind != 0 && kind != 'S' && kind != 'N'; k.begun && k.ready {
-				k.expectMore()
-			}
-			return 0
-		}
-		fits := true
-		switch kind {
-		case 'R', 'K':
-			fits = !k.ready
-		case 'N':
-		case 'S':
-			pos, role, fits = k.parameter(body, pos, role)
-		case 'I':
-			fits = k.call != nil && k.call.probe && seen == 0
-		case 'T':
-			fits = seen == 0 && pgwire.Described(body)
-		case 'D':
-			fits = seen == 'T' && pgwire.Row(body)
-		case 'C':
-			fits = seen == 'D' && pgwire.Tag(body)
-		case 'E':
-			code = p.code(body)
-			fits = seen != 'C' && seen != 'E' && code != ""
-			k.code = code
-		case 'Z':
-			answered := seen == 'C' || seen == 'E' || seen == 'I' && k.call != nil && k.call.probe
-			fits = pgwire.Ready(body) && (answered || !k.ready && seen == 0)
-		default:
-			fits = false
-		}
-		if !fits { // then a code that came before it proves nothing
-			k.code = ""
-		}
-		if !fits || !k.ready && code != "" {
-			k.broken(errGarbage)
-			return 0
+		size, ok := p.tongue.Chat(in)
+		if !ok {
+			k.drop()
 		}
-		if at += size; kind == 'T' || kind == 'D' || kind == 'C' {
-			p.rows = append(p.rows, in[at-size:at])
-		}
-		if kind != 'R' && kind != 'K' && kind != 'N' && kind != 'S' {
-			k.begun, seen = true, kind
+		return size
+	}
+	k.hear(in, false)
+	h := &p.heard
+	if h.Spoilt {
+		k.broken(errGarbage)
+		return 0
+	}
+	if h.Size == 0 {
+		if k.begun && k.ready {
+			k.expectMore()
 		}
+		return 0
 	}
 	if !k.ready {
-		k.ready = true
-		p.loop.Forget(k.due)
-		k.start()
-		return at
+		k.welcomed()
+		return h.Size
 	}
 	c := k.call
 	if !k.written {
 		k.broken(errGarbage)
 		return 0
 	}
-	how := driver.OK
-	if code != "" {
-		how = outcomeOf(code)
-	}
-	k.call, k.written, k.code = nil, false, ""
+	at := h.Size
+	k.call, k.written, k.failed = nil, false, false
 	p.loop.Forget(k.due)
-	keep := at == len(in) && k.at == k.member.at // it has not moved, nor does it say more than it was asked
+	keep := at == len(in) && !h.Last && k.at == k.member.at // it has not moved, nor does it say more than it was asked
 	if keep {
 		k.rest()
 	}
-	p.end(c, how, pos, role, p.report, p.rows)
+	p.end(c, h.How, h)
 	if !keep {
 		k.drop()
 	}
@@ -446,84 +441,14 @@
 	})
 }
 
-// code reads the code of an error, nothing where there is none that could be one.
-func (p *Pool) code(body []byte) (code string) {
-	ok := pgwire.Fields(body, func(field byte, value []byte) {
-		if field == 'C' {
-			code = string(value)
-		}
-	})
-	odd := func(r rune) bool { return (r < '0' || r > '9') && (r < 'A' || r > 'Z') }
-	if !ok || len(code) != 5 || strings.ContainsFunc(code, odd) {
-		return ""
-	}
-	return code
-}
-
-// chat passes over what an idle member may say unasked; after anything else it is not used again.
-func (k *conn) chat(in []byte) int {
-	kind, _, size, err := pgwire.Next(in)
-	if err != nil || kind != 'S' && kind != 'N' && kind != 0 {
-		k.drop()
-	}
-	return size
-}
-
-func (k *conn) parameter(body []byte, pos time.Duration, role driver.Role) (time.Duration, driver.Role, bool) {
-	name, value, ok := pgwire.Parameter(body)
-	switch string(name) {
-	case "replay_position":
-		millis, err := strconv.ParseInt(string(value), 10, 64)
-		if latest := k.pool.loop.Now() + ahead; err == nil && millis > 0 && millis <= int64(latest/time.Millisecond) {
-			pos = time.Duration(millis) * time.Millisecond
-		}
-	case "node_role":
-		switch string(value) {
-		case "leader":
-			role = driver.Primary
-		case "follower":
-			role = driver.Replica
-		}
-	case "server_load":
-		k.pool.load(string(value))
-	}
-	return pos, role, ok
-}
-
-// load puts the fields of a load report into the order of the columns. One that cannot be read tells nothing.
-func (p *Pool) load(text string) {
-	p.report = append(p.report[:0], make([]float64, len(p.columns))...)
-	for field := range strings.SplitSeq(text, ",") {
-		name, number, found := strings.Cut(field, "=")
-		value, err := strconv.ParseFloat(number, 64)
-		if !found || err != nil || !(value >= 0) || math.IsInf(value, 1) {
-			p.report = p.report[:0]
-			return
-		}
-		if i := slices.Index(p.columns, p.word(name)); i >= 0 {
-			p.report[i] = value
-		}
-	}
-}
-
-// outcomeOf reads the code of a member's error.
-func outcomeOf(code string) driver.Outcome {
-	switch code {
-	case "25006", "72000":
-		return driver.Miss
-	case "53300":
-		return driver.Full
-	}
-	return driver.Failed
-}
-
 // Cancel calls a call-out off.
-func (p *Pool) Cancel(h slots.Handle) {
+func (p *Pool) Cancel(call uint32) {
+	h := slots.Handle(call)
 	if c := p.calls.Get(h); c != nil {
 		p.loop.Later(func() {
 			if p.calls.Get(h) == c {
 				p.letGo(c)
-				p.end(c, driver.Cancelled, 0, driver.Unknown, nil, nil)
+				p.end(c, driver.Cancelled, nil)
 			}
 		})
 	}
@@ -534,13 +459,13 @@
 	if c == nil {
 		return
 	}
-	reached, code := NotConnected, ""
+	reached, failed, how := NotConnected, false, driver.Failed
 	if c.conn != nil {
-		reached, code = c.conn.reached(), c.conn.code
+		reached, failed, how = c.conn.reached(), c.conn.failed, c.conn.how
 	}
 	p.letGo(c)
-	if code != "" {
-		p.end(c, outcomeOf(code), 0, driver.Unknown, nil, nil)
+	if failed {
+		p.end(c, how, nil)
 		return
 	}
 	p.fail(c, Failure{reached, true, errSlow})
@@ -562,21 +487,26 @@
 		m.quiet = now + loggedEach
 		log.Printf("event=callout_failed member=%012x endpoint=%s %v", uint64(c.to), m.at, why)
 	}
-	p.end(c, why.Outcome(), 0, driver.Unknown, nil, nil)
+	p.end(c, why.Outcome(), nil)
 }
 
-func (p *Pool) end(c *call, how driver.Outcome, pos time.Duration, role driver.Role, report []float64, rows [][]byte) {
+// end tells the outcome, and what was heard if an answer was.
+func (p *Pool) end(c *call, how driver.Outcome, heard *Heard) {
 	if c.handle != 0 && p.calls.Get(c.handle) != c {
 		return
 	}
 	p.calls.Drop(c.handle)
 	p.loop.Forget(c.due)
+	if heard == nil {
+		p.heard = Heard{Report: p.heard.Report[:0], Answer: driver.Answer{Parts: p.heard.Answer.Parts[:0]}}
+		heard = &p.heard
+	}
 	took := p.loop.Now() - c.sent
 	if c.probe {
-		p.host.Probed(c.to, how == driver.OK, took, report)
+		p.ledger.Probed(c.to, how == driver.OK, took, heard.Report)
 		return
 	}
-	p.host.CallOutEnded(c.rpc, c.n, c.to, how, took, pos, role, report, rows)
+	p.ledger.CallOutEnded(c.rpc, c.n, c.to, how, took, heard.Answer.Position, heard.Role, heard.Report, &heard.Answer)
 }
 
 // CloseIdle ends the idle connections to a member.
@@ -597,18 +527,31 @@
 	}
 }
 
-// MakeRoom ends the connection that was idle for longest; it tells whether there was one.
-func (p *Pool) MakeRoom() bool {
-	var oldest *conn
+// Oldest tells since when the connection has been idle that was so for longest.
+func (p *Pool) Oldest() (since time.Duration, ok bool) {
+	k := p.oldest()
+	if k == nil {
+		return 0, false
+	}
+	return k.since, true
+}
+
+func (p *Pool) oldest() (oldest *conn) {
 	for _, m := range p.members {
 		if len(m.idle) > 0 && (oldest == nil || m.idle[0].since < oldest.since) {
 			oldest = m.idle[0]
 		}
 	}
+	return oldest
+}
+
+// MakeRoom ends the connection that was idle for longest; it tells whether there was one.
+func (p *Pool) MakeRoom() bool {
+	oldest := p.oldest()
 	if oldest == nil {
 		return false
 	}
-	p.host.Count("members_closed_idle")
+	p.ledger.Count("members_closed_idle")
 	oldest.drop()
 	return true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,10 +17,12 @@
 	"time"
 
 	"passtack/driver"
-	"passtack/internal/clients"
+	"passtack/internal/front"
+	pgfront "passtack/internal/front/pg"
 	"passtack/internal/list"
 	"passtack/internal/loop"
-	"passtack/internal/members"
+	"passtack/internal/member"
+	pgmember "passtack/internal/member/pg"
 	"passtack/internal/peers"
 	"passtack/internal/slots"
 	"passtack/internal/terms"
@@ -29,9 +31,11 @@
 
 // rpc is kept until it is answered and all its call-outs have ended.
 type rpc struct {
-	client   slots.Handle
+	front    driver.Front
+	client   driver.Client
+	side     driver.Side // that speaks with the members of its group
 	until    time.Duration
-	calls    []slots.Handle
+	calls    []uint32
 	out      int
 	answered bool
 	overdue  loop.Due
@@ -42,8 +46,9 @@
 	site    *Site
 	loop    *loop.Loop
 	module  *rules.Router
-	front   *clients.Front
-	pool    *members.Pool
+	fronts  []driver.Front
+	sides   [driver.Forms]driver.Side
+	pools   []*member.Pool
 	list    *list.Discovery
 	peers   *peers.Peers
 	rpcs    slots.Table[*rpc]
@@ -76,9 +81,9 @@
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
 		tick: t.Span("tick"),
 	}
-	n.pool = members.New(l, n, site.span("caps.connect_timeout", 250*time.Millisecond),
-		site.span("caps.idle_close", time.Hour), site.columns(), terms.Word)
-	l.MakeRoom = n.pool.MakeRoom
+	load := member.Load{Columns: site.columns(), Word: terms.Word}
+	n.speak(driver.Statements, &pgmember.Tongue{Load: load})
+	l.MakeRoom = n.makeRoom
 	n.list = list.New(l, n, site.Discovery)
 	if site.PeerListen.IsValid() {
 		n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, func(from driver.Peer, text []byte) {
@@ -99,15 +104,41 @@
 		}
 	}
 	names, sessions, tokened := site.methods()
-	if n.front, err = clients.Listen(l, n, site.Listen, names, sessions, tokened); err != nil {
+	open := make(front.Ids)
+	portal, err := pgfront.Listen(l, n, site.Listen, loop.Door{}, open, names, sessions, tokened)
+	if err != nil {
 		return nil, fmt.Errorf("listen %s: %w", site.Listen, err)
 	}
+	n.fronts = append(n.fronts, portal)
 	if site.Terms["list"] == "pushed" {
 		n.list.Watch(true)
 	}
 	return n, nil
 }
 
+// speak opens the side for one protocol with members.
+func (n *Node) speak(form driver.Form, tongue member.Tongue) {
+	pool := member.New(n.loop, n, tongue, n.site.span("caps.connect_timeout", 250*time.Millisecond),
+		n.site.span("caps.idle_close", time.Hour))
+	n.sides[form] = pool
+	n.pools = append(n.pools, pool)
+}
+
+// makeRoom ends the connection to a member that was idle for longest.
+func (n *Node) makeRoom() bool {
+	var oldest *member.Pool
+	first := time.Duration(0)
+	for _, p := range n.pools {
+		if since, ok := p.Oldest(); ok && (oldest == nil || since < first) {
+			oldest, first = p, since
+		}
+	}
+	return oldest != nil && oldest.MakeRoom()
+}
+
+// FormOf tells how the members of a group are spoken to.
+func (n *Node) FormOf(group driver.Group) driver.Form { return driver.Statements }
+
 const (
 	newcomers = 700 * time.Millisecond // connections may still come for so long after a planned stop was begun
 	repeated  = 5 * time.Second        // in which the same line of the module is logged once
@@ -194,11 +225,13 @@
 	if n.ending != 0 {
 		return
 	}
-	log.Printf("event=leaving rpcs=%d clients=%d", n.rpcs.Count(), n.front.Open())
+	log.Printf("event=leaving rpcs=%d clients=%d", n.rpcs.Count(), n.open())
 	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
 	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
 	n.loop.At(begun+newcomers, func() {
-		n.front.Shut()
+		for _, f := range n.fronts {
+			f.Shut()
+		}
 		n.loop.At(n.loop.Now()+look, n.stopWhenDone)
 	})
 }
@@ -207,17 +240,32 @@
 // them.
 func (n *Node) stopWhenDone() {
 	idle := newcomers
-	if n.loop.Now() >= n.ends {
-		n.front.Leave()
+	leave := n.loop.Now() >= n.ends
+	if leave {
 		idle = 0
 	}
-	if n.front.Sweep(idle, newcomers) == 0 {
+	open := 0
+	for _, f := range n.fronts {
+		if leave {
+			f.Leave()
+		}
+		open += f.Sweep(idle, newcomers)
+	}
+	if open == 0 {
 		n.loop.Stop()
 		return
 	}
 	n.loop.At(n.loop.Now()+look, n.stopWhenDone)
 }
 
+// open counts the connections of clients.
+func (n *Node) open() (open int) {
+	for _, f := range n.fronts {
+		open += f.Open()
+	}
+	return open
+}
+
 // Count adds one to a counter.
 func (n *Node) Count(what string) { n.counts[what]++ }
 
@@ -232,22 +280,26 @@
 		fmt.Fprintf(&line, " %s=%d", name, n.counts[name])
 	}
 	open, most := n.loop.Open()
+	members := 0
+	for _, p := range n.pools {
+		members += p.Open()
+	}
 	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d descriptors_most=%d dues=%d lines_lost=%d%s",
-		n.rpcs.Count(), n.front.Open(), n.pool.Open(), open, most, n.loop.Dues(), n.lines.lost.Load(), line.String())
+		n.rpcs.Count(), n.open(), members, open, most, n.loop.Dues(), n.lines.lost.Load(), line.String())
 }
 
 // Take hands an RPC to the module.
-func (n *Node) Take(from slots.Handle, method driver.Method, group driver.Group, session driver.Session,
-	until, wrote time.Duration, repeat bool) driver.RPC {
+func (n *Node) Take(by driver.Front, from driver.Client, method driver.Method, group driver.Group,
+	session driver.Session, until, wrote time.Duration, repeat bool) driver.RPC {
 	n.Count("rpcs_taken")
 	if n.ending != 0 {
 		until = min(until, n.ending)
 	}
-	q := &rpc{client: from, until: until}
+	q := &rpc{front: by, client: from, side: n.sides[n.FormOf(group)], until: until}
 	h := n.rpcs.Put(q)
 	if h == 0 {
 		n.Count("rpcs_no_room")
-		n.front.PushBack(from, 0)
+		by.PushBack(from, 0)
 		return 0
 	}
 	q.overdue = n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
@@ -267,17 +319,17 @@
 
 func (n *Node) get(id driver.RPC) *rpc { return n.rpcs.Get(slots.Handle(id)) }
 
-// answered marks the one final answer; it tells whether the client still waits for it.
-func (n *Node) answered(id driver.RPC, how string) (client slots.Handle, waits bool) {
+// answered marks the one final answer; it gives nil where the client does not wait for it any more.
+func (n *Node) answered(id driver.RPC, how string) *rpc {
 	q := n.get(id)
 	if q == nil || q.answered {
-		return 0, false
+		return nil
 	}
 	q.answered = true
 	n.loop.Forget(q.overdue)
 	n.Count("rpcs_" + how)
 	n.drop(id, q)
-	return q.client, true
+	return q
 }
 
 func (n *Node) drop(id driver.RPC, q *rpc) {
@@ -288,7 +340,7 @@
 
 // ClientLeft tells the module that nobody waits for the answer any more.
 func (n *Node) ClientLeft(id driver.RPC) {
-	if _, waits := n.answered(id, "left"); waits {
+	if n.answered(id, "left") != nil {
 		n.module.ClientLeft(id)
 	}
 }
@@ -300,16 +352,16 @@
 }
 
 // CallOutEnded passes an answer on, unless the RPC has got one, and tells the module in any case.
-func (n *Node) CallOutEnded(id driver.RPC, call int, from driver.Member, how driver.Outcome, took time.Duration,
-	pos time.Duration, role driver.Role, report []float64, rows [][]byte) {
+func (n *Node) CallOutEnded(id driver.RPC, call int, from driver.Member, how driver.Outcome, took, pos time.Duration,
+	role driver.Role, report []float64, a *driver.Answer) {
 	n.Count("callouts_" + outcomes[how])
 	q := n.get(id)
 	if q == nil {
 		return
 	}
 	if how == driver.OK {
-		if client, waits := n.answered(id, "ok"); waits {
-			n.front.Answer(client, rows...)
+		if q := n.answered(id, "ok"); q != nil {
+			q.front.Answer(q.client, a)
 		}
 	}
 	q.out--
@@ -335,11 +387,16 @@
 		log.Printf("event=member_listed member=%012x uid=%s endpoint=%s group=%d", uint64(m), uid, at, group)
 	}
 	if at.IsValid() {
-		n.pool.Place(m, at)
+		n.place(m, group, at)
 	}
 	n.module.Listed(m, driver.Zone(max(0, slices.Index(n.zones, zone))), group, state, size, started, primary)
 }
 
+// place tells the side that speaks with the member's group where it listens.
+func (n *Node) place(m driver.Member, group driver.Group, at netip.AddrPort) {
+	n.pools[n.FormOf(group)].Place(m, at)
+}
+
 func (n *Node) ListEnds(how driver.Listing) {
 	n.module.ListEnds(how)
 }
@@ -357,38 +414,49 @@
 	if timeout != 0 {
 		until = min(until, n.loop.Now()+timeout)
 	}
-	before, after := n.front.Statement(q.client)
-	if q.answered || len(q.calls) >= n.most || before == nil {
+	ask := q.front.Ask(q.client)
+	if q.answered || len(q.calls) >= n.most || ask == nil {
 		until = 0
 	}
 	n.Count("callouts_sent")
 	q.out++
-	q.calls = append(q.calls, n.pool.CallOut(id, len(q.calls), to, until, before, after))
+	q.calls = append(q.calls, q.side.CallOut(id, len(q.calls), to, until, ask))
 }
 
 func (n *Node) Cancel(id driver.RPC, call int) {
 	if q := n.get(id); q != nil && call < len(q.calls) {
-		n.pool.Cancel(q.calls[call])
+		q.side.Cancel(q.calls[call])
 	}
 }
 
 func (n *Node) PushBack(id driver.RPC, comeBack time.Duration) {
-	if client, waits := n.answered(id, "pushed_back"); waits {
-		n.front.PushBack(client, comeBack)
+	if q := n.answered(id, "pushed_back"); q != nil {
+		q.front.PushBack(q.client, comeBack)
 	}
 }
 
 func (n *Node) Abort(id driver.RPC) {
-	if client, waits := n.answered(id, "aborted"); waits {
-		n.front.Abort(client)
+	if q := n.answered(id, "aborted"); q != nil {
+		q.front.Abort(q.client)
 	}
 }
 
-func (n *Node) Probe(m driver.Member)     { n.pool.Probe(m) }
-func (n *Node) CloseIdle(m driver.Member) { n.pool.CloseIdle(m) }
+func (n *Node) Probe(m driver.Member) {
+	for _, p := range n.pools {
+		p.Probe(m)
+	}
+}
+
+func (n *Node) CloseIdle(m driver.Member) {
+	for _, p := range n.pools {
+		p.CloseIdle(m)
+	}
+}
 
 func (n *Node) Forget(m driver.Member) {
-	n.pool.Forget(m)
+	for _, p := range n.pools {
+		p.Forget(m)
+	}
 	delete(n.numbers, n.uids[m])
 	delete(n.uids, m)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -44,8 +44,8 @@
 	return value
 }
 
-// member does with each statement what act says; it closes the connection where act tells so.
-type member struct {
+// standIn does with each statement what act says; it closes the connection where act tells so.
+type standIn struct {
 	listener net.Listener
 	act      func(c net.Conn, q *query) (open bool)
 	greet    func(c net.Conn) (open bool)
@@ -64,12 +64,12 @@
 	return head[0], body, err
 }
 
-func startMember(t testing.TB, act func(c net.Conn, q *query) bool) *member {
+func startMember(t testing.TB, act func(c net.Conn, q *query) bool) *standIn {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &member{listener: l, act: act}
+	m := &standIn{listener: l, act: act}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -83,7 +83,7 @@
 	return m
 }
 
-func (m *member) serve(c net.Conn) {
+func (m *standIn) serve(c net.Conn) {
 	defer c.Close()
 	m.mutex.Lock()
 	m.opened++
@@ -118,7 +118,7 @@
 // stamped notes when a member was done with a query: before the driver can know of it.
 type stamped struct {
 	net.Conn
-	member *member
+	member *standIn
 	query  *query
 }
 
@@ -138,7 +138,7 @@
 	return s.Conn.Close()
 }
 
-func (m *member) seen() []*query {
+func (m *standIn) seen() []*query {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	return append([]*query(nil), m.queries...)
@@ -333,7 +333,7 @@
 		what, want, outcome string
 		greet               func(net.Conn) bool
 		act                 func(net.Conn, *query) bool
-		member              *member
+		member              *standIn
 	}{
 		{what: "refused", want: pushedBack, outcome: "no_connection"},
 		{what: "hangs up on the connect", want: pushedBack, outcome: "no_connection", greet: hangUp, act: leader},
@@ -444,8 +444,8 @@
 			t.Errorf("%d call-outs counted as %s, at least %d wanted", d.counts[outcome], outcome, count)
 		}
 	}
-	if d.counts["callouts_sent"] != d.outcomes() || d.rpcs.Count() != 0 || d.pool.Out() != 0 {
-		t.Errorf("%d RPCs and %d call-outs are left, counted %v", d.rpcs.Count(), d.pool.Out(), d.counts)
+	if d.counts["callouts_sent"] != d.outcomes() || d.rpcs.Count() != 0 || d.pools[0].Out() != 0 {
+		t.Errorf("%d RPCs and %d call-outs are left, counted %v", d.rpcs.Count(), d.pools[0].Out(), d.counts)
 	}
 }
 
@@ -460,7 +460,7 @@
 func TestRulesHoldOnRandomDays(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			var members []*member
+			var members []*standIn
 			var targets []string
 			for i := range 4 {
 				role := map[bool]string{true: "leader", false: "follower"}[i%2 == 0]
