--- /dev/null
+++ b/internal/repeat/repeat_test.go
@@ -0,0 +1,163 @@
+package repeat
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"passtack/internal/seeded"
+	"pgregory.net/rapid"
+)
+
+const second, window = time.Second, 1200 * time.Millisecond
+
+func memory(sticky bool) *Memory {
+	m := New(0)
+	m.Sticky, m.Kept, m.Most, m.Open = sticky, 10*second, 1<<20, 100
+	return m
+}
+
+func TestWhatARepeatGets(t *testing.T) {
+	m := memory(false)
+	v, first := m.Asked("a", 1, 5*second, 5*second, window)
+	if v != Run || first.Until >= 5*second+window {
+		t.Fatalf("the first gets %d until %v", v, first.Until)
+	}
+	if v, e := m.Asked("a", 1, 5*second, 5100*time.Millisecond, window); v != Joins || e != first {
+		t.Errorf("while it is out a repeat gets %d", v)
+	}
+	if v, _ := m.Asked("a", 2, 5*second, 5100*time.Millisecond, window); v != Other {
+		t.Errorf("another request of the same id gets %d", v)
+	}
+	first.Waiters = append(first.Waiters, 7, 8, 9)
+	first.Leave(8)
+	if got := fmt.Sprint(m.Ended(first, Done, []byte("x"), 6*second)); got != "[7 9]" {
+		t.Errorf("who waits: %s", got)
+	}
+	for _, at := range []time.Duration{6, 7, 15} { // also beyond the window: nothing runs
+		if v, e := m.Asked("a", 1, 5*second, at*second, window); v != Told || string(e.Answer) != "x" {
+			t.Errorf("at %d s a repeat gets %d", at, v)
+		}
+	}
+	if v, _ := m.Asked("a", 1, 5*second, 17*second, window); v != Late {
+		t.Errorf("once it is forgotten a repeat gets %d", v)
+	}
+	if v, _ := m.Asked("b", 1, 9*second, 5*second, window); v != Early {
+		t.Errorf("a request from the future gets %d", v)
+	}
+}
+
+func TestWhatMayHaveRunIsRepeatedInsideItsWindowOnly(t *testing.T) {
+	for _, sticky := range []bool{false, true} {
+		m := memory(sticky)
+		_, e := m.Asked("a", 1, 5*second, 5*second, window)
+		m.Ended(e, Unsure, nil, 5500*time.Millisecond)
+		v, again := m.Asked("a", 1, 5*second, 6*second, window)
+		if v != Run || again.Until >= 5*second+window {
+			t.Fatalf("sticky %t: inside the window a repeat gets %d until %v", sticky, v, again.Until)
+		}
+		m.Ended(again, Nothing, nil, 6100*time.Millisecond) // the first may have run nevertheless
+		if v, _ := m.Asked("a", 1, 5*second, 6300*time.Millisecond, window); v != Late {
+			t.Errorf("sticky %t: after the window a repeat gets %d", sticky, v)
+		}
+	}
+}
+
+// Where a client's repeats come here only, a first try that was long under way is told from a repeat.
+func TestStickyClients(t *testing.T) {
+	for _, sticky := range []bool{false, true} {
+		v, e := memory(sticky).Asked("a", 1, 5*second, 8*second, window)
+		if sticky && (v != Run || e.Until < 9*second) || !sticky && v != Late {
+			t.Errorf("sticky %t: an unknown request of 3 s ago gets %d", sticky, v)
+		}
+	}
+	m := New(6 * second) // started after it was first sent: it may have run before the restart
+	m.Sticky, m.Kept, m.Most, m.Open = true, 10*second, 1<<20, 100
+	if v, _ := m.Asked("a", 1, 5*second, 8*second, window); v != Late {
+		t.Errorf("after a restart a request from before gets %d", v)
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	m := memory(true)
+	m.Most, m.Open = 10_000, 5
+	for i := range 1000 {
+		at := time.Duration(i+1) * time.Millisecond * 2
+		v, e := m.Asked(fmt.Sprint(i), 1, at, at, window)
+		if v != Run {
+			t.Fatalf("request %d gets %d", i, v)
+		}
+		m.Ended(e, Done, make([]byte, 100), at)
+		if _, out, bytes := m.Held(); bytes > m.Most || out != 0 {
+			t.Fatalf("%d bytes are held, %d are out", bytes, out)
+		}
+	}
+	if v, _ := m.Asked("0", 1, 2*time.Millisecond, 5*second, window); v != Late {
+		t.Errorf("a repeat of what had to be forgotten gets %d", v)
+	}
+	for i := range 6 {
+		if v, _ := m.Asked(fmt.Sprint("open", i), 1, 5*second, 5*second, window); (v == NoRoom) != (i == 5) {
+			t.Errorf("request %d that is out at once gets %d", i, v)
+		}
+	}
+}
+
+// A group drops repeats for its window after the first run. Drivers with this memory, which restart at random, must
+// never let a request run a second time after that.
+func TestNoEffectTwice(t *testing.T) {
+	seeded.Check(t, func(t *rapid.T) {
+		now := second
+		type sent struct {
+			first, ran time.Duration // ran: when the group first ran it, 0: not yet
+			open       [2]*Entry
+		}
+		requests := make([]sent, 4)
+		drivers := [2]*Memory{memory(false), memory(false)}
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 1<<16), 1, 200).Draw(t, "steps") {
+			now += time.Duration(step%400) * time.Millisecond
+			q, d, dice := &requests[step/400%4], step/1600%2, step/3200
+			key := fmt.Sprint(step / 400 % 4)
+			if e := q.open[d]; e != nil {
+				q.open[d] = nil
+				switch dice % 4 {
+				case 0:
+					drivers[d] = memory(false) // killed
+					drivers[d].began = now
+					for i := range requests {
+						requests[i].open[d] = nil
+					}
+				case 1:
+					drivers[d].Ended(e, Unsure, nil, now)
+				case 2:
+					drivers[d].Ended(e, Done, []byte("done"), now)
+				case 3:
+					if q.ran == 0 {
+						drivers[d].Ended(e, Nothing, nil, now)
+					} else {
+						drivers[d].Ended(e, Unsure, nil, now)
+					}
+				}
+				continue
+			}
+			if q.first == 0 {
+				q.first = now
+			}
+			v, e := drivers[d].Asked(key, 1, q.first.Truncate(second), now, window)
+			if v != Run {
+				continue
+			}
+			if now >= e.Until {
+				t.Fatalf("it may run until %v, now %v", e.Until, now)
+			}
+			q.open[d] = e
+			if dice%3 > 0 { // it reaches the group by then
+				if q.ran != 0 && e.Until > q.ran+window {
+					t.Fatalf("ran at %v, may run again until %v", q.ran, e.Until)
+				}
+				if q.ran == 0 {
+					q.ran = now
+				}
+			}
+		}
+	})
+}
