--- /dev/null
+++ b/internal/odata/model.go
@@ -0,0 +1,342 @@
+// Package odata reads and writes OData 4.01 in JSON: paths, options, filters, batches, metadata and errors. It holds no
+// sockets and decides nothing about RPCs.
+package odata
+
+import (
+	"bytes"
+	"encoding/json"
+	"encoding/xml"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"passtack/driver"
+)
+
+// Error is what a client hears in the standard's form.
+type Error struct {
+	Status int
+	Code   string
+	Text   string
+	Target string
+}
+
+func (e *Error) Error() string { return fmt.Sprintf("%d %s: %s", e.Status, e.Code, e.Text) }
+
+// Body is the error in JSON.
+func (e *Error) Body() []byte {
+	body, _ := json.Marshal(map[string]any{"error": struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		Target  string `json:"target,omitempty"`
+	}{e.Code, e.Text, e.Target}})
+	return body
+}
+
+func bad(target, format string, args ...any) *Error {
+	return &Error{400, "BadRequest", fmt.Sprintf(format, args...), target}
+}
+
+// Missing names what is not offered.
+func Missing(target, what string) *Error {
+	return &Error{501, "NotImplemented", what + " is not offered", target}
+}
+
+// Type is one of the primitive types that properties have.
+type Type string
+
+const (
+	String   Type = "Edm.String"
+	Int32    Type = "Edm.Int32"
+	Int64    Type = "Edm.Int64"
+	Decimal  Type = "Edm.Decimal"
+	Double   Type = "Edm.Double"
+	Boolean  Type = "Edm.Boolean"
+	GUID     Type = "Edm.Guid"
+	Date     Type = "Edm.Date"
+	Instant  Type = "Edm.DateTimeOffset"
+	null     Type = ""
+	anyThing Type = "?"
+)
+
+// Types are all that there are.
+var Types = []Type{String, Int32, Int64, Decimal, Double, Boolean, GUID, Date, Instant}
+
+// Property is a column of an entity.
+type Property struct {
+	Name, Column string
+	Type         Type
+	Nullable     bool
+	Length       int // of strings, 0: not bounded
+}
+
+// Act is what may be done with an entity set.
+type Act uint8
+
+const (
+	Read Act = iota
+	List
+	Count
+	Create
+	Update  // PATCH of what is there
+	Replace // PUT of what is there
+	Upsert  // PATCH or PUT of what may be there
+	Delete
+	Acts
+)
+
+// Names are the acts' names in the operator's file.
+var Names = [Acts]string{"read", "list", "count", "create", "update", "replace", "upsert", "delete"}
+
+// Writes tells whether an act changes something.
+func (a Act) Writes() bool { return a >= Create }
+
+// Operation says how an act is done.
+type Operation struct {
+	Method     driver.Method
+	AfterWrite driver.Method // of a read behind a write of the same batch
+	Statement  Template
+	Tokened    bool
+	Repeats    bool          // running twice does no harm
+	Window     time.Duration // in which the group drops a repeat
+	Soft, Most time.Duration
+}
+
+// Set is an entity set.
+type Set struct {
+	Name, Type string
+	Key        *Property
+	Properties []*Property
+	ETag       *Property // its value tells versions apart, nil: none is known
+	Page       int
+	Groups     []driver.Group
+	Operations [Acts]*Operation
+}
+
+// Property finds one by name.
+func (s *Set) Property(name string) *Property {
+	for _, p := range s.Properties {
+		if p.Name == name {
+			return p
+		}
+	}
+	return nil
+}
+
+// Model is all that a front offers.
+type Model struct {
+	Namespace string
+	Sets      []*Set
+}
+
+// Set finds one by name.
+func (m *Model) Set(name string) *Set {
+	for _, s := range m.Sets {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// Service is the service document.
+func (m *Model) Service(root string) []byte {
+	type entry struct {
+		Name string `json:"name"`
+		Kind string `json:"kind"`
+		URL  string `json:"url"`
+	}
+	sets := []entry{}
+	for _, s := range m.Sets {
+		sets = append(sets, entry{s.Name, "EntitySet", s.Name})
+	}
+	body, _ := json.Marshal(struct {
+		Context string  `json:"@odata.context"`
+		Value   []entry `json:"value"`
+	}{root + "$metadata", sets})
+	return body
+}
+
+func escaped(text string) string {
+	var b bytes.Buffer
+	xml.EscapeText(&b, []byte(text))
+	return b.String()
+}
+
+// XML is the metadata document as CSDL XML.
+func (m *Model) XML() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `<?xml version="1.0" encoding="UTF-8"?>
+<edmx:Edmx xmlns:edmx="http://docs.oasis-open.org/odata/ns/edmx" Version="4.01">
+ <edmx:DataServices>
+  <Schema xmlns="http://docs.oasis-open.org/odata/ns/edm" Namespace="%s">
+`, escaped(m.Namespace))
+	for _, s := range m.Sets {
+		fmt.Fprintf(&b, "   <EntityType Name=\"%s\">\n    <Key><PropertyRef Name=\"%s\"/></Key>\n", escaped(s.Type), escaped(s.Key.Name))
+		for _, p := range s.Properties {
+			fmt.Fprintf(&b, "    <Property Name=\"%s\" Type=\"%s\" Nullable=\"%t\"", escaped(p.Name), p.Type, p.Nullable)
+			if p.Length > 0 {
+				fmt.Fprintf(&b, " MaxLength=\"%d\"", p.Length)
+			}
+			b.WriteString("/>\n")
+		}
+		b.WriteString("   </EntityType>\n")
+	}
+	b.WriteString("   <EntityContainer Name=\"Container\">\n")
+	for _, s := range m.Sets {
+		fmt.Fprintf(&b, "    <EntitySet Name=\"%s\" EntityType=\"%s.%s\"/>\n", escaped(s.Name), escaped(m.Namespace), escaped(s.Type))
+	}
+	b.WriteString("   </EntityContainer>\n  </Schema>\n </edmx:DataServices>\n</edmx:Edmx>\n")
+	return b.Bytes()
+}
+
+// JSON is the metadata document as CSDL JSON.
+func (m *Model) JSON() []byte {
+	types, container := map[string]any{}, map[string]any{"$Kind": "EntityContainer"}
+	for _, s := range m.Sets {
+		entity := map[string]any{"$Kind": "EntityType", "$Key": []string{s.Key.Name}}
+		for _, p := range s.Properties {
+			property := map[string]any{}
+			if p.Type != String {
+				property["$Type"] = p.Type
+			}
+			if p.Nullable {
+				property["$Nullable"] = true
+			}
+			if p.Length > 0 {
+				property["$MaxLength"] = p.Length
+			}
+			entity[p.Name] = property
+		}
+		types[s.Type] = entity
+		container[s.Name] = map[string]any{"$Collection": true, "$Type": m.Namespace + "." + s.Type}
+	}
+	types["Container"] = container
+	body, _ := json.Marshal(map[string]any{"$Version": "4.01", "$EntityContainer": m.Namespace + ".Container", m.Namespace: types})
+	return body
+}
+
+// Value is a literal of a type.
+type Value struct {
+	Type Type
+	Text string // without quotes
+}
+
+// fits tells whether a literal may stand where the type is wanted.
+func (v Value) fits(t Type) bool {
+	switch {
+	case v.Type == t, v.Type == null, t == anyThing:
+		return true
+	case v.Type == Int32:
+		return t == Int64 || t == Decimal || t == Double
+	case v.Type == Int64:
+		return t == Decimal || t == Double
+	case v.Type == Decimal:
+		return t == Double
+	}
+	return false
+}
+
+func numeric(t Type) bool { return t == Int32 || t == Int64 || t == Decimal || t == Double }
+
+// literal reads one literal that takes the whole text.
+func literal(text string) (v Value, ok bool) {
+	switch {
+	case text == "null":
+		return Value{null, ""}, true
+	case text == "true" || text == "false":
+		return Value{Boolean, text}, true
+	case len(text) >= 2 && text[0] == '\'' && text[len(text)-1] == '\'':
+		inner := text[1 : len(text)-1]
+		plain := strings.ReplaceAll(inner, "''", "")
+		if strings.Contains(plain, "'") || strings.ContainsRune(inner, 0) {
+			return v, false
+		}
+		return Value{String, strings.ReplaceAll(inner, "''", "'")}, true
+	}
+	return typed(text)
+}
+
+func typed(text string) (v Value, ok bool) {
+	if n, err := strconv.ParseInt(text, 10, 64); err == nil && text[0] != '+' {
+		if n == int64(int32(n)) {
+			return Value{Int32, text}, true
+		}
+		return Value{Int64, text}, true
+	}
+	if isGUID(text) {
+		return Value{GUID, text}, true
+	}
+	if _, err := time.Parse("2006-01-02", text); err == nil {
+		return Value{Date, text}, true
+	}
+	if t, err := time.Parse(time.RFC3339Nano, text); err == nil {
+		return Value{Instant, t.Format(time.RFC3339Nano)}, true
+	}
+	if f, err := strconv.ParseFloat(text, 64); err == nil && isDecimal(text) {
+		if strings.ContainsAny(text, "eE") {
+			return Value{Double, strconv.FormatFloat(f, 'g', -1, 64)}, true
+		}
+		return Value{Decimal, text}, true
+	}
+	return v, false
+}
+
+func isGUID(text string) bool {
+	if len(text) != 36 {
+		return false
+	}
+	for i := range len(text) {
+		b := text[i]
+		if i == 8 || i == 13 || i == 18 || i == 23 {
+			if b != '-' {
+				return false
+			}
+		} else if (b < '0' || b > '9') && (b|0x20 < 'a' || b|0x20 > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+func isDecimal(text string) bool {
+	for i := range len(text) {
+		if b := text[i]; (b < '0' || b > '9') && !strings.ContainsRune(".-eE", rune(b)) && !(b == '+' && i > 0) {
+			return false
+		}
+	}
+	return text[0] != '.' && text[0] != 'e' && text[0] != 'E'
+}
+
+// fromJSON reads a property's value out of a body.
+func fromJSON(raw json.RawMessage, p *Property) (v Value, err *Error) {
+	text := string(bytes.TrimSpace(raw))
+	if text == "null" {
+		if !p.Nullable {
+			return v, bad(p.Name, "%s may not be null", p.Name)
+		}
+		return Value{null, ""}, nil
+	}
+	if text[0] == '"' {
+		var s string
+		if json.Unmarshal(raw, &s) != nil || strings.ContainsRune(s, 0) {
+			return v, bad(p.Name, "%s holds a text that cannot be", p.Name)
+		}
+		if p.Type == String {
+			if p.Length > 0 && len([]rune(s)) > p.Length {
+				return v, bad(p.Name, "%s is longer than %d", p.Name, p.Length)
+			}
+			return Value{String, s}, nil
+		}
+		if s == "" {
+			return v, bad(p.Name, "%s is no %s", p.Name, p.Type)
+		}
+		if v, ok := typed(s); ok && v.fits(p.Type) && !numeric(v.Type) {
+			return v, nil
+		}
+	} else if v, ok := literal(text); ok && v.Type != String && v.fits(p.Type) {
+		return v, nil
+	}
+	return v, bad(p.Name, "%s is no %s", p.Name, p.Type)
+}
--- /dev/null
+++ b/internal/odata/url.go
@@ -0,0 +1,312 @@
+package odata
+
+import (
+	"strconv"
+	"strings"
+	"unicode/utf8"
+)
+
+// Kind is what a path leads to.
+type Kind uint8
+
+const (
+	ServiceDocument Kind = iota
+	Metadata
+	BatchOf
+	Collection
+	CountOf
+	Entity
+	PropertyOf
+	ValueOf // the bare value of a property
+)
+
+// Order is one item of $orderby.
+type Order struct {
+	Property *Property
+	Down     bool
+}
+
+// Resource is what a target asks for.
+type Resource struct {
+	Kind     Kind
+	Set      *Set
+	Key      Value
+	KeyText  string // as the key is written in a path
+	Property *Property
+	Filter   *Node
+	Select   []*Property
+	Order    []Order
+	Top      int // -1: not said
+	Skip     int
+	Count    bool
+	Format   string
+}
+
+// decode undoes percent encoding; what it gives is text in UTF-8 without zero bytes.
+func decode(text string) (string, bool) {
+	if strings.IndexByte(text, '%') >= 0 {
+		var b strings.Builder
+		for i := 0; i < len(text); i++ {
+			if text[i] != '%' {
+				b.WriteByte(text[i])
+				continue
+			}
+			if i+2 >= len(text) {
+				return "", false
+			}
+			n, err := strconv.ParseUint(text[i+1:i+3], 16, 8)
+			if err != nil {
+				return "", false
+			}
+			b.WriteByte(byte(n))
+			i += 2
+		}
+		text = b.String()
+	}
+	return text, utf8.ValidString(text) && strings.IndexByte(text, 0) < 0
+}
+
+// Encode writes a key as it may stand in a path.
+func Encode(text string) string {
+	var b strings.Builder
+	for i := range len(text) {
+		if c := text[i]; c >= '0' && c <= '9' || c|0x20 >= 'a' && c|0x20 <= 'z' || strings.IndexByte("-._~'(),=:@!$*;", c) >= 0 {
+			b.WriteByte(c)
+		} else {
+			b.WriteString("%" + string("0123456789ABCDEF"[c>>4]) + string("0123456789ABCDEF"[c&15]))
+		}
+	}
+	return b.String()
+}
+
+// KeyOf writes a value as a key in a path, not encoded.
+func KeyOf(v Value) string {
+	if v.Type == String {
+		return "'" + strings.ReplaceAll(v.Text, "'", "''") + "'"
+	}
+	return v.Text
+}
+
+// Parse reads a target, which begins with root or is relative to it.
+func (m *Model) Parse(target, root string) (r Resource, err *Error) {
+	r.Top = -1
+	if _, rest, found := strings.Cut(target, "://"); found && !strings.HasPrefix(target, "/") {
+		slash := strings.IndexByte(rest, '/')
+		if slash < 0 {
+			return r, bad("", "a target without a path")
+		}
+		target = rest[slash:]
+	}
+	if strings.HasPrefix(target, "/") {
+		path, _, _ := strings.Cut(target, "?")
+		if path+"/" == root {
+			target = root + target[len(path):]
+		}
+		if !strings.HasPrefix(target, root) {
+			return r, &Error{404, "NotFound", "nothing is served here", ""}
+		}
+		target = target[len(root):]
+	}
+	path, query, _ := strings.Cut(target, "?")
+	if err := m.path(&r, path); err != nil {
+		return r, err
+	}
+	return r, r.options(query)
+}
+
+func (m *Model) path(r *Resource, path string) *Error {
+	segments := strings.Split(path, "/")
+	if n := len(segments); n > 1 && segments[n-1] == "" {
+		segments = segments[:n-1]
+	}
+	for i, s := range segments {
+		text, ok := decode(s)
+		if !ok {
+			return bad("", "a path that cannot be read")
+		}
+		segments[i] = text
+	}
+	first := segments[0]
+	switch first {
+	case "", "$metadata", "$batch":
+		if len(segments) > 1 {
+			return &Error{404, "NotFound", "nothing is served here", ""}
+		}
+		r.Kind = map[string]Kind{"": ServiceDocument, "$metadata": Metadata, "$batch": BatchOf}[first]
+		return nil
+	case "$entity", "$all", "$crossjoin":
+		return Missing("", first)
+	}
+	name, key, keyed := strings.Cut(first, "(")
+	if r.Set = m.Set(name); r.Set == nil {
+		return &Error{404, "NotFound", "there is no entity set " + name, ""}
+	}
+	r.Kind = Collection
+	if keyed {
+		key, ended := strings.CutSuffix(key, ")")
+		if !ended {
+			return bad("", "a key without its end")
+		}
+		if key != "" { // Set() is the collection
+			if err := r.key(key); err != nil {
+				return err
+			}
+		}
+	}
+	return r.behind(segments[1:])
+}
+
+func (r *Resource) key(text string) *Error {
+	if name, value, found := strings.Cut(text, "="); found && name == r.Set.Key.Name {
+		text = value
+	}
+	v, ok := literal(text)
+	if !ok || v.Type == null || !v.fits(r.Set.Key.Type) {
+		return bad("", "the key of %s is no %s", r.Set.Name, r.Set.Key.Type)
+	}
+	r.Kind, r.Key, r.KeyText = Entity, v, KeyOf(v)
+	return nil
+}
+
+// behind reads what follows the entity set.
+func (r *Resource) behind(segments []string) *Error {
+	if len(segments) == 0 {
+		return nil
+	}
+	switch first := segments[0]; {
+	case first == "$count" && r.Kind == Collection && len(segments) == 1:
+		r.Kind = CountOf
+		return nil
+	case strings.HasPrefix(first, "$"):
+		return Missing("", first+" behind "+r.Set.Name)
+	case r.Kind == Collection:
+		return Missing("", "a path behind the collection "+r.Set.Name)
+	}
+	if r.Property = r.Set.Property(segments[0]); r.Property == nil {
+		return &Error{404, "NotFound", r.Set.Name + " has no property " + segments[0], ""}
+	}
+	switch {
+	case len(segments) == 1:
+		r.Kind = PropertyOf
+	case len(segments) == 2 && segments[1] == "$value":
+		r.Kind = ValueOf
+	default:
+		return Missing("", "a path behind the property "+segments[0])
+	}
+	return nil
+}
+
+func (r *Resource) options(query string) *Error {
+	seen := make(map[string]bool)
+	for part := range strings.SplitSeq(query, "&") {
+		if part == "" {
+			continue
+		}
+		name, value, _ := strings.Cut(part, "=")
+		name, ok := decode(name)
+		value, okay := decode(value)
+		if !ok || !okay {
+			return bad("", "an option that cannot be read")
+		}
+		system := strings.TrimPrefix(name, "$")
+		switch system { // 4.01 lets the sign be left out
+		case "filter", "select", "orderby", "top", "skip", "count", "format", "expand", "search", "apply", "compute",
+			"levels", "skiptoken", "deltatoken", "index", "id", "schemaversion":
+			name = "$" + system
+		default:
+			if strings.HasPrefix(name, "$") {
+				return bad(name, "there is no option %s", name)
+			}
+			continue // a custom option
+		}
+		if seen[name] {
+			return bad(name, "%s is given twice", name)
+		}
+		seen[name] = true
+		if err := r.option(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Resource) option(name, value string) (err *Error) {
+	many := r.Kind == Collection
+	allowed := many || name == "$format" || name == "$select" && r.Kind == Entity ||
+		(name == "$filter") && r.Kind == CountOf
+	switch name {
+	case "$filter", "$select", "$orderby", "$top", "$skip", "$count", "$format":
+		if !allowed {
+			return bad(name, "%s does not fit this resource", name)
+		}
+	}
+	switch name {
+	case "$filter":
+		r.Filter, err = ParseFilter(value, r.Set)
+	case "$select":
+		err = r.selects(value)
+	case "$orderby":
+		err = r.orders(value)
+	case "$top":
+		r.Top, err = count(name, value)
+	case "$skip":
+		r.Skip, err = count(name, value)
+	case "$count":
+		if value != "true" && value != "false" {
+			return bad(name, "$count is true or false")
+		}
+		r.Count = value == "true"
+	case "$format":
+		r.Format = value
+	default:
+		return Missing(name, name)
+	}
+	return err
+}
+
+const mostSkip = 1 << 30
+
+func count(name, value string) (int, *Error) {
+	n, err := strconv.ParseUint(value, 10, 31)
+	if err != nil || n > mostSkip {
+		return 0, bad(name, "%s is no count", name)
+	}
+	return int(n), nil
+}
+
+func (r *Resource) selects(value string) *Error {
+	for item := range strings.SplitSeq(value, ",") {
+		item = strings.TrimSpace(item)
+		if item == "*" {
+			r.Select = r.Set.Properties
+			return nil
+		}
+		if strings.ContainsAny(item, "/(") {
+			return Missing("$select", "a path in $select")
+		}
+		p := r.Set.Property(item)
+		if p == nil {
+			return bad("$select", "%s has no property %s", r.Set.Name, item)
+		}
+		r.Select = append(r.Select, p)
+	}
+	return nil
+}
+
+func (r *Resource) orders(value string) *Error {
+	for item := range strings.SplitSeq(value, ",") {
+		words := strings.Fields(item)
+		if len(words) == 0 || len(words) > 2 || len(words) == 2 && words[1] != "asc" && words[1] != "desc" {
+			return bad("$orderby", "%q is no order", item)
+		}
+		if strings.ContainsAny(words[0], "/(") {
+			return Missing("$orderby", "an expression in $orderby")
+		}
+		p := r.Set.Property(words[0])
+		if p == nil {
+			return bad("$orderby", "%s has no property %s", r.Set.Name, words[0])
+		}
+		r.Order = append(r.Order, Order{p, len(words) == 2 && words[1] == "desc"})
+	}
+	return nil
+}
