OData batches in both forms are read and rendered

Need: a batch mixes reads with writes, as multipart/mixed or JSON. Change: odata.ParseBatch reads either into one list of requests with what each needs or refers to, refuses atomicity groups of more than one whole, and Render writes the answers with an edge that no value holds.

--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -265,3 +265,39 @@
 	out = append(append(append(append(out, verb...), ' '), target...), " HTTP/1.1\r\n"...)
 	return out
 }
+
+// Inner reads a request that is a part of a batch and whose length is known: its first line, its fields, and the rest
+// as its body.
+func Inner(in []byte, limits Limits) (r Request, fault *Fault) {
+	end := bytes.IndexByte(in, '\n')
+	if end < 1 || in[end-1] != '\r' {
+		return r, &Fault{400, "no request"}
+	}
+	if r.Verb, r.Target, _, fault = firstLine(in[:end-1], limits); fault != nil {
+		return r, fault
+	}
+	fields, size, fault := lines(in[end+1:], limits.Fields)
+	if fault != nil {
+		return r, fault
+	}
+	if size == 0 { // some leave the empty line out where there is no body
+		rest := append(bytes.TrimRight(in[end+1:len(in):len(in)], "\r\n"), "\r\n\r\n"...)
+		if len(rest) == 4 {
+			rest = rest[2:]
+		}
+		if fields, size, fault = lines(rest, limits.Fields); fault != nil || size != len(rest) {
+			return r, &Fault{400, "a head without its end"}
+		}
+		size = len(in) - end - 1
+	}
+	r.Fields, r.Body = fields, in[end+1+size:]
+	if length, count := fields.Get("content-length"); count > 0 {
+		n, ok := number(length)
+		if !ok || count > 1 || n > int64(len(r.Body)) {
+			return r, &Fault{400, "a length that cannot be"}
+		}
+		r.Body = r.Body[:n]
+	}
+	r.Size = len(in)
+	return r, nil
+}
--- /dev/null
+++ b/internal/odata/batch_test.go
@@ -0,0 +1,181 @@
+package odata
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"mime/multipart"
+	"strings"
+	"testing"
+
+	"passtack/internal/httpwire"
+)
+
+var batchLimits = BatchLimits{10, httpwire.Limits{Target: 500, Head: 2000, Fields: 20, Body: 10000}}
+
+func inCRLF(text string) []byte { return []byte(strings.ReplaceAll(text, "\n", "\r\n")) }
+
+const mixed = `--b
+Content-Type: application/http
+
+GET Applications('a') HTTP/1.1
+Accept: application/json
+
+
+--b
+Content-Type: multipart/mixed; boundary=c
+
+--c
+Content-Type: application/http
+Content-Transfer-Encoding: binary
+Content-ID: new
+
+POST Applications HTTP/1.1
+Content-Type: application/json
+Content-Length: 10
+
+{"Id":"x"}
+--c--
+--b
+Content-Type: application/http
+
+GET $new/Status HTTP/1.1
+
+--b--
+`
+
+func TestBatchesInBothForms(t *testing.T) {
+	b, err := ParseBatch("multipart/mixed; boundary=b", inCRLF(mixed), batchLimits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(b.Items) != 3 || !b.Ordered || string(b.Items[1].Body) != `{"Id":"x"}` || b.Items[1].Atom == "" ||
+		fmt.Sprint(b.Items[2].Needs) != "[1]" || b.Items[2].Fault != nil || b.Items[0].Fault != nil {
+		t.Errorf("read as %+v", b.Items)
+	}
+	if to, rest, ok := b.Reference("$new/Status"); !ok || to != 1 || rest != "/Status" {
+		t.Errorf("the reference leads to %d, %q", to, rest)
+	}
+	j, err := ParseBatch("application/json; charset=utf-8", []byte(`{"requests":[
+{"id":"0","method":"get","url":"Applications('a')"},
+{"id":"1","method":"post","url":"Applications","atomicityGroup":"g","headers":{"prefer":"return=minimal"},"body":{"Id":"x"}},
+{"id":"2","method":"get","url":"$1/Status","dependsOn":["0","g"]}]}`), batchLimits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(j.Items) != 3 || j.Ordered || j.Items[0].Verb != "GET" || j.Items[1].Fields.Text("Content-Type") != "application/json" ||
+		fmt.Sprint(j.Items[2].Needs) != "[0 1 1]" {
+		t.Errorf("read as %+v", j.Items)
+	}
+}
+
+func TestAtomicityGroupsAreRefusedWhole(t *testing.T) {
+	b, err := ParseBatch("application/json", []byte(`{"requests":[
+{"id":"0","method":"post","url":"Applications","atomicityGroup":"g","body":{}},
+{"id":"1","method":"get","url":"Applications"},
+{"id":"2","method":"post","url":"Applications","atomicityGroup":"g","body":{}},
+{"id":"3","method":"post","url":"Applications","atomicityGroup":"h","body":{}}]}`), batchLimits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, refused := range []bool{true, false, true, false} {
+		if f := b.Items[i].Fault; f != nil != refused || refused && f.Status != 501 {
+			t.Errorf("item %d: %v", i, f)
+		}
+	}
+}
+
+func TestBatchesThatCannotBe(t *testing.T) {
+	many := `{"requests":[` + strings.Repeat(`{"id":"%d","method":"get","url":"x"},`, 11)
+	for i := range 11 {
+		many = strings.Replace(many, "%d", fmt.Sprint(i), 1)
+	}
+	for _, c := range []struct {
+		media, body string
+		want        int
+	}{
+		{"application/json", `{"requests":[]}`, 400}, {"application/json", `{`, 400}, {"application/json", `[]`, 400},
+		{"application/json", `{"requests":[{"method":"get","url":"x"}]}`, 400},
+		{"application/json", `{"requests":[{"id":"1","method":"get","url":"x"},{"id":"1","method":"get","url":"x"}]}`, 400},
+		{"application/json", `{"requests":[{"id":"1","method":"get","url":"x","dependsOn":["1"]}]}`, 400},
+		{"application/json", `{"requests":[{"id":"1","method":"get","url":"x","dependsOn":["2"]},{"id":"2","method":"get","url":"x"}]}`, 400},
+		{"application/json", `{"requests":[{"id":"1","method":"get","url":"x","headers":{"a\r\nb":"c"}}]}`, 400},
+		{"application/json", `{"requests":[{"id":"1","method":"get","url":"x","headers":{"a":"c\r\nHost: y"}}]}`, 400},
+		{"application/json", strings.TrimSuffix(many, ",") + "]}", 413},
+		{"text/plain", "x", 415}, {"multipart/mixed", "x", 415}, {"", "x", 415},
+		{"multipart/mixed; boundary=b", "nothing", 400}, {"multipart/mixed; boundary=b", mixed[:len(mixed)-8], 400},
+		{"multipart/mixed; boundary=b", strings.Replace(mixed, "application/http", "text/plain", 1), 400},
+		{"multipart/mixed; boundary=b", strings.Replace(mixed, "boundary=c", "", 1), 400},
+	} {
+		if b, err := ParseBatch(c.media, inCRLF(c.body), batchLimits); err == nil || err.Status != c.want {
+			t.Errorf("%s, %.60q: %v, %v", c.media, c.body, b, err)
+		}
+	}
+	b, err := ParseBatch("multipart/mixed; boundary=b", inCRLF(strings.Replace(mixed, "Content-Length: 10", "Content-Length: 99", 1)), batchLimits)
+	if err != nil || b.Items[1].Fault == nil || b.Items[0].Fault != nil {
+		t.Errorf("a part that cannot be read: %v, %+v", err, b)
+	}
+}
+
+func TestAnswersInBothForms(t *testing.T) {
+	b, _ := ParseBatch("multipart/mixed; boundary=b", inCRLF(mixed), batchLimits)
+	answers := []InnerAnswer{
+		{200, []byte("Content-Type: application/json\r\n"), []byte(`{"a":1}`)}, {204, nil, nil},
+		{200, []byte("Content-Type: text/plain\r\n"), []byte("x\r\n--batch-answer--")},
+	}
+	media, body := b.Render(answers)
+	_, parameters, _ := mime.ParseMediaType(media)
+	r := multipart.NewReader(bytes.NewReader(body), parameters["boundary"])
+	var got []string
+	for {
+		part, err := r.NextRawPart()
+		if err == io.EOF {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(part)
+		got = append(got, part.Header.Get("Content-Type")+" "+string(text[:min(len(text), 20)]))
+	}
+	if len(got) != 3 || !strings.HasPrefix(got[0], "application/http HTTP/1.1 200 OK") || !strings.HasPrefix(got[1], "multipart/mixed; ") {
+		t.Errorf("%q", got)
+	}
+	b.JSON = true
+	var told struct {
+		Responses []struct {
+			ID     string
+			Status int
+			Body   any
+		}
+	}
+	_, body = b.Render(answers)
+	if err := json.Unmarshal(body, &told); err != nil || len(told.Responses) != 3 || told.Responses[2].Body != "x\r\n--batch-answer--" || told.Responses[1].ID != "new" {
+		t.Errorf("%v: %s", err, body)
+	}
+}
+
+// Whatever comes: nothing panics, no more items than allowed, needs point backwards, and the answers can be rendered.
+func FuzzBatch(f *testing.F) {
+	f.Add("multipart/mixed; boundary=b", inCRLF(mixed))
+	f.Add("application/json", []byte(`{"requests":[{"id":"1","method":"post","url":"x","body":{}},{"id":"2","method":"get","url":"$1","dependsOn":["1"]}]}`))
+	f.Add("application/json", []byte(`{"requests":[{"id":"$1","method":"get","url":"$$1","headers":{"content-type":"text/plain"},"body":"x"}]}`))
+	f.Fuzz(func(t *testing.T, media string, body []byte) {
+		b, err := ParseBatch(media, body, batchLimits)
+		if err != nil {
+			return
+		}
+		for i, item := range b.Items {
+			for _, need := range item.Needs {
+				if need >= i {
+					t.Fatalf("item %d needs %d", i, need)
+				}
+			}
+		}
+		_, out := b.Render(make([]InnerAnswer, len(b.Items)))
+		if len(b.Items) > batchLimits.Items || b.JSON && !json.Valid(out) {
+			t.Fatalf("%d items, answers %q", len(b.Items), out)
+		}
+	})
+}
