Logging by log/slog: key=value lines with a level, one event sampled

Need: later subsystems log more, and the operator sets how much. Change: internal/logs is the goroutine that writes lines, now behind slog's text handler; the event is a field of its own as before, with the time (UTC) and a level. Names of events and fields are as on-call staff know them. One event beyond a limit a second is left out and counted (lines_sampled), errors never.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -63,7 +62,6 @@
 }
 
 func main() {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
 	var command struct {
 		Serve   serve   `cmd:"" help:"Serve clients until SIGTERM."`
 		Check   check   `cmd:"" help:"Read what a driver would be told, and name what is wrong with it."`
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -161,7 +161,7 @@
 
 // failed tells that a call brought nothing: the last list holds, and whoever wanted more asks again.
 func (d *Discovery) failed(cause error) {
-	log.Printf("event=list_failed rev=%d cause=%q", d.rev, cause)
+	slog.Warn("list_failed", "rev", d.rev, "cause", cause)
 	d.drop()
 	d.asked, d.watching = 0, false
 	d.host.Count("list_failures")
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"log"
+	"log/slog"
 	"os"
 	"runtime/debug"
 	"time"
@@ -143,7 +143,7 @@
 func (l *Loop) guard(act func(), broken func(error)) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			log.Printf("event=panic cause=%q stack=%q", cause, debug.Stack())
+			slog.Error("panic", "cause", cause, "stack", string(debug.Stack()))
 			if broken != nil {
 				l.guard(func() { broken(panicked{cause}) }, nil)
 			}
@@ -174,7 +174,7 @@
 func (l *Loop) change(fd int, h slots.Handle, events uint32) {
 	event := unix.EpollEvent{Events: events, Fd: int32(h)}
 	if err := unix.EpollCtl(l.poll, unix.EPOLL_CTL_MOD, fd, &event); err != nil {
-		log.Printf("event=poll_change_failed cause=%q", err)
+		slog.Error("poll_change_failed", "cause", err)
 	}
 }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -36,7 +36,7 @@
 }
 
 func run(t *testing.T, most, budget int, holds bool) (l *Loop, at netip.AddrPort, stop func()) {
-	log.SetOutput(io.Discard)
+	slog.SetDefault(slog.New(slog.DiscardHandler))
 	l, err := New(most, budget)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net/netip"
 	"slices"
 	"sort"
@@ -485,7 +485,8 @@
 func (p *Pool) fail(c *call, why Failure) {
 	if m, now := p.members[c.to], p.loop.Now(); m != nil && now >= m.quiet {
 		m.quiet = now + loggedEach
-		log.Printf("event=callout_failed member=%012x endpoint=%s %v", uint64(c.to), m.at, why)
+		slog.Warn("callout_failed", "member", fmt.Sprintf("%012x", uint64(c.to)), "endpoint", m.at, "reach", reaches[why.Reached],
+			"timed_out", why.TimedOut, "cause", why.Cause)
 	}
 	p.end(c, why.Outcome(), nil)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"maps"
 	"net/netip"
 	"os"
@@ -20,6 +20,7 @@
 	"passtack/internal/front"
 	pgfront "passtack/internal/front/pg"
 	"passtack/internal/list"
+	"passtack/internal/logs"
 	"passtack/internal/loop"
 	"passtack/internal/member"
 	pgmember "passtack/internal/member/pg"
@@ -62,7 +63,7 @@
 	fault   error
 	ending  time.Duration // when all must be answered, once a planned stop was begun
 	ends    time.Duration // when clients that are connected are served no more
-	lines   *lines
+	lines   *logs.Lines
 
 	said      map[string]bool // by the module of late
 	saidSince time.Duration
@@ -100,7 +101,7 @@
 	}
 	if len(site.Known) > 0 {
 		if err := n.list.Know(site.Known); err != nil {
-			log.Printf("event=known_list_unusable cause=%q", err)
+			slog.Warn("known_list_unusable", "cause", err)
 		}
 	}
 	names, sessions, tokened := site.methods()
@@ -150,8 +151,8 @@
 // Run serves until it is told to stop and has answered all that it took.
 func (n *Node) Run() error {
 	debug.SetMemoryLimit(n.site.Memory * 3 / 4)
-	n.lines = logTo(os.Stderr)
-	defer n.lines.end()
+	n.lines = logs.To(os.Stderr)
+	defer n.lines.End()
 	signals := make(chan os.Signal, 8)
 	heard := make(chan func(), 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
@@ -174,7 +175,7 @@
 			n.loop.Ring()
 		}
 	}()
-	log.Printf("event=started name=%s listen=%s discovery=%s", n.site.Name, n.site.Listen, n.site.Discovery)
+	slog.Info("started", "name", n.site.Name, "listen", n.site.Listen, "discovery", n.site.Discovery)
 	err := n.loop.Run(func() {
 		for {
 			select {
@@ -186,7 +187,7 @@
 		}
 	})
 	n.print()
-	log.Printf("event=stopped name=%s", n.site.Name)
+	slog.Info("stopped", "name", n.site.Name)
 	return errors.Join(err, n.fault)
 }
 
@@ -194,7 +195,7 @@
 func (n *Node) reload(fresh *Site, err error) {
 	if err != nil {
 		n.Count("reloads_failed")
-		log.Printf("event=reload_failed cause=%q", err)
+		slog.Warn("reload_failed", "cause", err)
 		return
 	}
 	n.Count("reloads")
@@ -217,15 +218,15 @@
 	if n.peers != nil {
 		n.peers.Place(s.PeerAll, s.Peers)
 	}
-	log.Printf("event=reloaded discovery=%s sockets=%d memory_mb=%d needs_restart=%q", s.Discovery, s.Descriptors,
-		s.Memory>>20, strings.TrimPrefix(restart, ","))
+	slog.Info("reloaded", "discovery", s.Discovery, "sockets", s.Descriptors, "memory_mb", s.Memory>>20,
+		"needs_restart", strings.TrimPrefix(restart, ","))
 }
 
 func (n *Node) leave() {
 	if n.ending != 0 {
 		return
 	}
-	log.Printf("event=leaving rpcs=%d clients=%d", n.rpcs.Count(), n.open())
+	slog.Info("leaving", "rpcs", n.rpcs.Count(), "clients", n.open())
 	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
 	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
 	n.loop.At(begun+newcomers, func() {
@@ -270,22 +271,20 @@
 func (n *Node) Count(what string) { n.counts[what]++ }
 
 func (n *Node) print() {
-	var line strings.Builder
-	names := make([]string, 0, len(n.counts))
-	for name := range n.counts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		fmt.Fprintf(&line, " %s=%d", name, n.counts[name])
-	}
 	open, most := n.loop.Open()
 	members := 0
 	for _, p := range n.pools {
 		members += p.Open()
 	}
-	log.Printf("event=counters rpcs_held=%d clients_open=%d members_open=%d descriptors=%d descriptors_most=%d dues=%d lines_lost=%d%s",
-		n.rpcs.Count(), n.open(), members, open, most, n.loop.Dues(), n.lines.lost.Load(), line.String())
+	line := []any{
+		"rpcs_held", n.rpcs.Count(), "clients_open", n.open(), "members_open", members, "descriptors", open,
+		"descriptors_most", most, "dues", n.loop.Dues(), "lines_lost", n.lines.Lost.Load(),
+		"lines_sampled", n.lines.Sampled.Load(),
+	}
+	for _, name := range slices.Sorted(maps.Keys(n.counts)) {
+		line = append(line, name, n.counts[name])
+	}
+	slog.Info("counters", line...)
 }
 
 // Take hands an RPC to the module.
@@ -311,7 +310,7 @@
 func (n *Node) overdue(id driver.RPC) {
 	if q := n.get(id); q != nil && !q.answered {
 		n.Count("rpcs_overdue")
-		log.Printf("event=overdue rpc=%d callouts=%d", id, len(q.calls))
+		slog.Error("overdue", "rpc", id, "callouts", len(q.calls))
 		n.Abort(id)
 		n.module.ClientLeft(id)
 	}
@@ -384,7 +383,7 @@
 		n.last++
 		m = n.last
 		n.numbers[uid], n.uids[m] = m, uid
-		log.Printf("event=member_listed member=%012x uid=%s endpoint=%s group=%d", uint64(m), uid, at, group)
+		slog.Info("member_listed", "member", fmt.Sprintf("%012x", uint64(m)), "uid", uid, "endpoint", at, "group", group)
 	}
 	if at.IsValid() {
 		n.place(m, group, at)
@@ -486,11 +485,11 @@
 		return
 	}
 	n.said[line] = true
-	log.Printf("event=module text=%q", line)
+	slog.Info("module", "text", line)
 }
 
 func (n *Node) Fault(why string) {
 	n.fault = errors.New(why)
-	log.Printf("event=fault cause=%q", why)
+	slog.Error("fault", "cause", why)
 	n.loop.Stop()
 }
