OData front and OData member side on the seam; the operator's file sets them, off without it

Need: school offices' systems send OData requests and must get the same promises as PostgreSQL's clients.

Node opens a door for each front; internal/share parts descriptors, bytes and RPCs among them, and SIGHUP takes over what can change. Without the file nothing is opened and the platform's front has all.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -6,27 +6,41 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"passtack/internal/node"
+	"passtack/internal/operator"
 )
 
 // place names the file that tells a driver what it needs to know at its start.
 type place struct {
-	Site string `help:"What a driver is told at its start, as JSON." env:"BALANCER_CONFIG" type:"existingfile" required:""`
+	Site     string `help:"What a driver is told at its start, as JSON." env:"BALANCER_CONFIG" type:"existingfile" required:""`
+	Operator string `help:"The operator's own file (HCL): fronts beside the platform's, their limits, the log." type:"existingfile" placeholder:"FILE"`
+}
+
+// read gives both, checked.
+func (p *place) read() (*node.Site, *operator.File, error) {
+	site, err := node.ReadSite(p.Site, os.Getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	site.Operator = p.Operator
+	wants, err := site.Wants()
+	return site, wants, err
 }
 
 type serve struct{ place }
 
 func (c *serve) Run() error {
 	signal.Ignore(syscall.SIGHUP) // until it serves, there is nothing to take over
-	site, err := node.ReadSite(c.Site, os.Getenv)
+	site, wants, err := c.read()
 	if err != nil {
 		return err
 	}
-	n, err := node.New(site)
+	n, err := node.New(site, wants)
 	if err != nil {
 		return err
 	}
@@ -36,12 +50,19 @@
 type check struct{ place }
 
 func (c *check) Run() error {
-	site, err := node.ReadSite(c.Site, os.Getenv)
-	if err == nil {
-		fmt.Printf("name=%s listen=%s discovery=%s methods=%s\n", site.Name, site.Listen, site.Discovery,
-			site.Terms["methods.count"])
+	site, wants, err := c.read()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("name=%s listen=%s discovery=%s methods=%s\n", site.Name, site.Listen, site.Discovery, site.Terms["methods.count"])
+	for _, f := range wants.Fronts[1:] {
+		sets := 0
+		if f.OData != nil {
+			sets = len(f.OData.Model.Sets)
+		}
+		fmt.Printf("front=%s protocol=%s listen=%s sets=%d\n", f.Name, f.Protocol, f.Listen, sets)
 	}
-	return err
+	return nil
 }
 
 type version struct{}
@@ -69,7 +90,9 @@
 	}
 	c := kong.Parse(&command, kong.Name("passtack"), kong.Description("A read/write splitter for database clusters."))
 	if err := c.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "passtack:", err)
+		for line := range strings.Lines(err.Error()) {
+			fmt.Fprintln(os.Stderr, "passtack:", strings.TrimSpace(line))
+		}
 		os.Exit(1)
 	}
 }
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -344,6 +344,9 @@
 // Leave ends connections between RPCs from now on; new ones are still served.
 func (f *Front) Leave() { f.room.Leave(func(g front.Guest) bool { return g.(*client).started }) }
 
+// Room gives the room of its connections.
+func (f *Front) Room() *front.Room { return f.room }
+
 func (f *Front) Shut()                                  { f.room.Shut() }
 func (f *Front) Sweep(idle, patience time.Duration) int { return f.room.Sweep(idle, patience) }
 func (f *Front) Open() int                              { return f.room.Count() }
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -76,8 +76,11 @@
 	return r, err
 }
 
-// Door is the room's, by which limits of what it holds are changed.
-func (r *Room) Door() *loop.Door { return &r.listener.Door }
+// Held tells how many connections there are, and what bytes past the common size they hold.
+func (r *Room) Held() (connections, bytes int) { return r.listener.Held() }
+
+// Yield ends a connection that another room needs, if there is one that asks nothing.
+func (r *Room) Yield() { r.yield(true) }
 
 func (r *Room) accept(open func(loop.Owner) *loop.Stream) {
 	s := &Seat{room: r}
--- /dev/null
+++ b/internal/node/doors.go
@@ -0,0 +1,149 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/front"
+	odatafront "passtack/internal/front/odata"
+	pgfront "passtack/internal/front/pg"
+	"passtack/internal/loop"
+	"passtack/internal/operator"
+	"passtack/internal/share"
+)
+
+// door is one listener and what it holds.
+type door struct {
+	node   *Node
+	name   string
+	front  driver.Front
+	room   *front.Room
+	number int // among the shares
+	rpcs   int // under way
+	taken  int
+}
+
+// manyRPCs is what all fronts together may have under way.
+const manyRPCs = 1 << 15
+
+// openDoors listens for all fronts that the operator wants, the platform's first.
+func (n *Node) openDoors() error {
+	names, sessions, tokened := n.site.methods()
+	open := make(front.Ids)
+	for _, f := range n.wants.Fronts {
+		d := &door{node: n, name: f.Name, number: n.shares.Join(f.Share)}
+		at := f.Listen
+		if !at.IsValid() {
+			at = n.site.Listen
+		}
+		var err error
+		switch f.Protocol {
+		case "pg":
+			var portal *pgfront.Front
+			if portal, err = pgfront.Listen(n.loop, n, at, d.limits(), open, names, sessions, tokened); err == nil {
+				d.front, d.room = portal, portal.Room()
+			}
+		case "odata":
+			var offices *odatafront.Front
+			if offices, err = odatafront.Listen(n.loop, n, at, d.limits(), open, f.OData, names, n.wants.Root,
+				n.site.Seed+uint64(d.number)); err == nil {
+				d.front, d.room = offices, offices.Room()
+			}
+		}
+		if err != nil {
+			return fmt.Errorf("front %s, listen %s: %w", f.Name, at, err)
+		}
+		n.doors = append(n.doors, d)
+		n.byFront[d.front] = d
+	}
+	if len(n.doors) > 1 {
+		n.loop.At(n.loop.Now()+parting, n.partAnew)
+	}
+	return nil
+}
+
+// limits bounds what a door's connections hold by its share.
+func (d *door) limits() loop.Door {
+	ask := func(kind share.Kind) func(int) int {
+		return func(most int) int { return d.roomFor(kind, most) }
+	}
+	return loop.Door{Descriptors: ask(share.Connections), Bytes: ask(share.Bytes)}
+}
+
+// roomFor tells how much of a kind the door may hold now.
+func (d *door) roomFor(kind share.Kind, most int) int {
+	n := d.node
+	n.tally()
+	room := n.shares.Room(d.number, kind, most)
+	if d.room != nil {
+		if connections, _ := d.room.Held(); kind == share.Connections && connections >= room {
+			n.shares.Lacks(d.number, kind, n.loop.Now())
+		}
+	}
+	return room
+}
+
+// tally tells what all doors hold.
+func (n *Node) tally() {
+	for _, o := range n.doors {
+		connections, bytes := o.room.Held()
+		n.shares.Hold(o.number, share.Connections, connections)
+		n.shares.Hold(o.number, share.Bytes, bytes)
+		n.shares.Hold(o.number, share.RPCs, o.rpcs)
+	}
+}
+
+// mayTake tells whether one more RPC may be under way.
+func (d *door) mayTake() bool {
+	if len(d.node.doors) == 1 && d.node.wants.Fronts[0].Share.Limits[share.RPCs] == 0 {
+		return true
+	}
+	return d.rpcs < d.roomFor(share.RPCs, manyRPCs)
+}
+
+const parting = 100 * time.Millisecond // looks whether a front has borrowed what another needs
+
+// partAnew lets who has borrowed connections that another needs end some.
+func (n *Node) partAnew() {
+	n.tally()
+	for _, d := range n.doors {
+		for range n.shares.Over(d.number, share.Connections, n.loop.Most()*5/8, n.loop.Now()) {
+			d.room.Yield()
+		}
+	}
+	n.loop.At(n.loop.Now()+parting, n.partAnew)
+}
+
+// FormOf tells how the members of a group are spoken to.
+func (n *Node) FormOf(group driver.Group) driver.Form { return n.wants.Forms[group] }
+
+// offer takes over what the operator wants now, and names what needs a restart.
+func (n *Node) offer(wants *operator.File) (restart []string) {
+	n.lines.Level.Set(wants.Level)
+	n.lines.Sample.Store(wants.Sample)
+	same := len(wants.Fronts) == len(n.wants.Fronts) && wants.Root == n.wants.Root && wants.Host == n.wants.Host
+	for g, form := range wants.Forms {
+		same = same && n.wants.Forms[g] == form
+	}
+	if !same || len(wants.Forms) != len(n.wants.Forms) {
+		restart = append(restart, "fronts or members")
+	}
+	for _, f := range wants.Fronts {
+		i := slices.IndexFunc(n.wants.Fronts, func(o *operator.Front) bool {
+			return o.Name == f.Name && o.Protocol == f.Protocol && o.Listen == f.Listen
+		})
+		if i < 0 {
+			restart = append(restart, "front "+f.Name)
+			continue
+		}
+		n.wants.Fronts[i].Share = f.Share
+		n.shares.Change(n.doors[i].number, f.Share)
+		if offices, ok := n.doors[i].front.(*odatafront.Front); ok {
+			n.wants.Fronts[i].OData = f.OData
+			offices.Offer(f.OData)
+		}
+	}
+	return restart
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,14 +17,15 @@
 	"time"
 
 	"passtack/driver"
-	"passtack/internal/front"
-	pgfront "passtack/internal/front/pg"
 	"passtack/internal/list"
 	"passtack/internal/logs"
 	"passtack/internal/loop"
 	"passtack/internal/member"
+	odatamember "passtack/internal/member/odata"
 	pgmember "passtack/internal/member/pg"
+	"passtack/internal/operator"
 	"passtack/internal/peers"
+	"passtack/internal/share"
 	"passtack/internal/slots"
 	"passtack/internal/terms"
 	"passtack/rules"
@@ -32,7 +33,7 @@
 
 // rpc is kept until it is answered and all its call-outs have ended.
 type rpc struct {
-	front    driver.Front
+	door     *door
 	client   driver.Client
 	side     driver.Side // that speaks with the members of its group
 	until    time.Duration
@@ -47,9 +48,11 @@
 	site    *Site
 	loop    *loop.Loop
 	module  *rules.Router
-	fronts  []driver.Front
-	sides   [driver.Forms]driver.Side
-	pools   []*member.Pool
+	wants   *operator.File
+	doors   []*door
+	byFront map[driver.Front]*door
+	shares  share.Shares
+	pools   [driver.Forms]*member.Pool
 	list    *list.Discovery
 	peers   *peers.Peers
 	rpcs    slots.Table[*rpc]
@@ -70,7 +73,7 @@
 }
 
 // New opens all sockets; Run serves.
-func New(site *Site) (*Node, error) {
+func New(site *Site, wants *operator.File) (*Node, error) {
 	l, err := loop.New(site.Descriptors, int(site.Memory/buffers))
 	if err != nil {
 		return nil, fmt.Errorf("limits: %w", err)
@@ -80,10 +83,15 @@
 		site: site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
 		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
-		tick: t.Span("tick"),
+		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door),
 	}
 	load := member.Load{Columns: site.columns(), Word: terms.Word}
 	n.speak(driver.Statements, &pgmember.Tongue{Load: load})
+	host := wants.Host
+	if host == "" {
+		host = site.Name
+	}
+	n.speak(driver.Requests, &odatamember.Tongue{Load: load, Host: host})
 	l.MakeRoom = n.makeRoom
 	n.list = list.New(l, n, site.Discovery)
 	if site.PeerListen.IsValid() {
@@ -104,13 +112,9 @@
 			slog.Warn("known_list_unusable", "cause", err)
 		}
 	}
-	names, sessions, tokened := site.methods()
-	open := make(front.Ids)
-	portal, err := pgfront.Listen(l, n, site.Listen, loop.Door{}, open, names, sessions, tokened)
-	if err != nil {
-		return nil, fmt.Errorf("listen %s: %w", site.Listen, err)
+	if err := n.openDoors(); err != nil {
+		return nil, err
 	}
-	n.fronts = append(n.fronts, portal)
 	if site.Terms["list"] == "pushed" {
 		n.list.Watch(true)
 	}
@@ -121,8 +125,7 @@
 func (n *Node) speak(form driver.Form, tongue member.Tongue) {
 	pool := member.New(n.loop, n, tongue, n.site.span("caps.connect_timeout", 250*time.Millisecond),
 		n.site.span("caps.idle_close", time.Hour))
-	n.sides[form] = pool
-	n.pools = append(n.pools, pool)
+	n.pools[form] = pool
 }
 
 // makeRoom ends the connection to a member that was idle for longest.
@@ -137,9 +140,6 @@
 	return oldest != nil && oldest.MakeRoom()
 }
 
-// FormOf tells how the members of a group are spoken to.
-func (n *Node) FormOf(group driver.Group) driver.Form { return driver.Statements }
-
 const (
 	newcomers = 700 * time.Millisecond // connections may still come for so long after a planned stop was begun
 	repeated  = 5 * time.Second        // in which the same line of the module is logged once
@@ -156,6 +156,8 @@
 	signals := make(chan os.Signal, 8)
 	heard := make(chan func(), 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	n.lines.Level.Set(n.wants.Level)
+	n.lines.Sample.Store(n.wants.Sample)
 	start := *n.site
 	go func() {
 		for s := range signals {
@@ -166,7 +168,8 @@
 			case syscall.SIGHUP:
 				go func() { // where nobody waits for it
 					fresh, err := start.again()
-					heard <- func() { n.reload(fresh, err) }
+					wants, wrong := start.Wants()
+					heard <- func() { n.reload(fresh, wants, errors.Join(err, wrong)) }
 					n.loop.Ring()
 				}()
 				continue
@@ -192,10 +195,12 @@
 }
 
 // reload takes over what the file says now, as far as that needs no restart.
-func (n *Node) reload(fresh *Site, err error) {
+func (n *Node) reload(fresh *Site, wants *operator.File, err error) {
 	if err != nil {
 		n.Count("reloads_failed")
-		slog.Warn("reload_failed", "cause", err)
+		for line := range strings.Lines(err.Error()) {
+			slog.Warn("reload_failed", "cause", strings.TrimSpace(line))
+		}
 		return
 	}
 	n.Count("reloads")
@@ -218,6 +223,9 @@
 	if n.peers != nil {
 		n.peers.Place(s.PeerAll, s.Peers)
 	}
+	for _, name := range n.offer(wants) {
+		restart += "," + name
+	}
 	slog.Info("reloaded", "discovery", s.Discovery, "sockets", s.Descriptors, "memory_mb", s.Memory>>20,
 		"needs_restart", strings.TrimPrefix(restart, ","))
 }
@@ -230,8 +238,8 @@
 	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
 	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
 	n.loop.At(begun+newcomers, func() {
-		for _, f := range n.fronts {
-			f.Shut()
+		for _, d := range n.doors {
+			d.front.Shut()
 		}
 		n.loop.At(n.loop.Now()+look, n.stopWhenDone)
 	})
@@ -246,11 +254,14 @@
 		idle = 0
 	}
 	open := 0
-	for _, f := range n.fronts {
+	for _, d := range n.doors {
 		if leave {
-			f.Leave()
+			d.front.Leave()
 		}
-		open += f.Sweep(idle, newcomers)
+		open += d.front.Sweep(idle, newcomers)
+	}
+	if leave && n.rpcs.Count() > 0 { // nobody waits, yet its outcome may be asked for
+		open++
 	}
 	if open == 0 {
 		n.loop.Stop()
@@ -261,8 +272,8 @@
 
 // open counts the connections of clients.
 func (n *Node) open() (open int) {
-	for _, f := range n.fronts {
-		open += f.Open()
+	for _, d := range n.doors {
+		open += d.front.Open()
 	}
 	return open
 }
@@ -281,6 +292,12 @@
 		"descriptors_most", most, "dues", n.loop.Dues(), "lines_lost", n.lines.Lost.Load(),
 		"lines_sampled", n.lines.Sampled.Load(),
 	}
+	if len(n.doors) > 1 {
+		for _, d := range n.doors {
+			line = append(line, "front_"+d.name+"_clients", d.front.Open(), "front_"+d.name+"_rpcs", d.rpcs,
+				"front_"+d.name+"_taken", d.taken)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(n.counts)) {
 		line = append(line, name, n.counts[name])
 	}
@@ -294,13 +311,21 @@
 	if n.ending != 0 {
 		until = min(until, n.ending)
 	}
-	q := &rpc{front: by, client: from, side: n.sides[n.FormOf(group)], until: until}
-	h := n.rpcs.Put(q)
+	d := n.byFront[by]
+	q := &rpc{door: d, client: from, side: n.pools[n.FormOf(group)], until: until}
+	h := slots.Handle(0)
+	if d.mayTake() {
+		h = n.rpcs.Put(q)
+	} else {
+		n.Count("rpcs_over_share")
+	}
 	if h == 0 {
 		n.Count("rpcs_no_room")
 		by.PushBack(from, 0)
 		return 0
 	}
+	d.taken++
+	d.rpcs++
 	q.overdue = n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
 	n.module.Take(driver.RPC(h), method, group, 0, session, until, wrote, repeat)
 	return driver.RPC(h)
@@ -326,6 +351,7 @@
 	}
 	q.answered = true
 	n.loop.Forget(q.overdue)
+	q.door.rpcs--
 	n.Count("rpcs_" + how)
 	n.drop(id, q)
 	return q
@@ -360,7 +386,7 @@
 	}
 	if how == driver.OK {
 		if q := n.answered(id, "ok"); q != nil {
-			q.front.Answer(q.client, a)
+			q.door.front.Answer(q.client, a)
 		}
 	}
 	q.out--
@@ -413,7 +439,7 @@
 	if timeout != 0 {
 		until = min(until, n.loop.Now()+timeout)
 	}
-	ask := q.front.Ask(q.client)
+	ask := q.door.front.Ask(q.client)
 	if q.answered || len(q.calls) >= n.most || ask == nil {
 		until = 0
 	}
@@ -430,18 +456,18 @@
 
 func (n *Node) PushBack(id driver.RPC, comeBack time.Duration) {
 	if q := n.answered(id, "pushed_back"); q != nil {
-		q.front.PushBack(q.client, comeBack)
+		q.door.front.PushBack(q.client, comeBack)
 	}
 }
 
 func (n *Node) Abort(id driver.RPC) {
 	if q := n.answered(id, "aborted"); q != nil {
-		q.front.Abort(q.client)
+		q.door.front.Abort(q.client)
 	}
 }
 
 func (n *Node) Probe(m driver.Member) {
-	for _, p := range n.pools {
+	for _, p := range n.pools { // one of them knows it
 		p.Probe(m)
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"passtack/driver"
+	"passtack/internal/operator"
 	"passtack/internal/pcg"
 	"passtack/internal/pgwire"
 	"passtack/rules"
@@ -237,7 +238,7 @@
 			t.Fatal(failed)
 		}
 		var n *Node
-		if n, err = New(site); err == nil {
+		if n, err = New(site, operator.None()); err == nil {
 			return n
 		}
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"passtack/internal/operator"
 	"passtack/internal/terms"
 )
 
@@ -25,6 +26,8 @@
 	Known               []byte
 	Terms               map[string]string
 
+	Operator string // the operator's own file, "": none
+
 	file        string
 	environment func(string) string
 	written     netip.AddrPort // discovery as the file has it
@@ -100,6 +103,24 @@
 	return s, nil
 }
 
+// Wants reads the operator's file, where there is one.
+func (s *Site) Wants() (*operator.File, error) {
+	if s.Operator == "" {
+		return operator.None(), nil
+	}
+	t := terms.New(s.Terms)
+	var methods []operator.Method
+	for i := range int(t.Number("methods.count", 0)) {
+		at := "methods." + strconv.Itoa(i) + "."
+		methods = append(methods, operator.Method{
+			Name: t.Text(at + "name"), Need: t.Item("family_info.needs", i), Idempotent: t.Text(at+"effect") == "idempotent",
+			Tokened: t.Text(at+"effect") == "tokened", Window: t.Span(at + "window"), Soft: t.Span(at + "soft_deadline"),
+			Limit: t.Span(at + "limit"),
+		})
+	}
+	return operator.Read(s.Operator, s.Listen, methods)
+}
+
 const (
 	readings = 5
 	between  = 100 * time.Millisecond
