--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -11,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"passtack/internal/logs"
 	"passtack/internal/node"
 	"passtack/internal/operator"
 )
@@ -83,6 +85,7 @@
 }
 
 func main() {
+	slog.SetDefault(slog.New(new(logs.Lines).Handler(os.Stderr)))
 	var command struct {
 		Serve   serve   `cmd:"" help:"Serve clients until SIGTERM."`
 		Check   check   `cmd:"" help:"Read what a driver would be told, and name what is wrong with it."`
--- a/internal/front/odata/errand.go
+++ b/internal/front/odata/errand.go
@@ -117,12 +117,19 @@
 	return fmt.Sprintf("%016x%016x", sum.Hi, sum.Lo)
 }
 
+// always is the window of a method that may run again.
+const always = 1 << 20 * time.Hour
+
 // judgeRepeat asks the memory; false: the errand has its answer, or waits for it.
 func (f *Front) judgeRepeat(e *errand, now, until time.Duration) bool {
 	digest := xxh3.New()
 	digest.WriteString(e.question.verb + "\x00" + e.resource.Set.Name + "\x00" + odata.KeyOf(e.key) + "\x00" + e.match + "\x00")
 	digest.Write(e.question.body)
-	verdict, entry := f.memory.Asked(e.repeatKey, digest.Sum64(), e.firstSent, now, e.operation.Window)
+	window := e.operation.Window
+	if e.operation.Repeats { // running again does no harm at any time
+		window = always
+	}
+	verdict, entry := f.memory.Asked(e.repeatKey, digest.Sum64(), e.firstSent, now, window)
 	refuse := func(counter string, status int, code, text string) {
 		f.clerk.Count(counter)
 		r := failure(fault(status, code, "%s", text))
@@ -175,7 +182,7 @@
 	set := e.resource.Set
 	fill := &odata.Fill{
 		Key: e.key, Body: e.question.body, Values: e.values, Filter: e.resource.Filter, Order: e.resource.Order,
-		Skip: e.resource.Skip, Top: e.limit() + 1, Match: e.version, Set: set,
+		Skip: e.resource.Skip, Top: e.limit() + 1, Match: e.version, Set: set, Count: e.resource.Count,
 	}
 	if e.resource.Top >= 0 && e.resource.Top <= set.Page { // no more is wanted: none tells of a next page
 		fill.Top = e.resource.Top
@@ -195,6 +202,9 @@
 func (e *errand) wordRequest(token string, position time.Duration) {
 	q, f := e.question, e.front
 	e.ask.Verb, e.ask.Body = q.verb, append([]byte(nil), q.body...)
+	if q.verb == "HEAD" { // the body tells how long it would be
+		e.ask.Verb = "GET"
+	}
 	path := q.target
 	if _, rest, found := strings.Cut(path, "://"); found && !strings.HasPrefix(path, "/") {
 		path = rest[max(strings.IndexByte(rest, '/'), 0):]
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -30,6 +31,8 @@
 	open    front.Ids
 	memory  *repeat.Memory
 	chance  *pcg.Source
+	second  time.Duration // that now was made in
+	now     string
 }
 
 // Listen starts to take clients in.
@@ -40,15 +43,21 @@
 	}
 	f.Offer(offer)
 	var err error
-	f.room, err = front.Listen(l, at, offer.HTTP.Head+2*offer.HTTP.Body, door, clerk.Count, func(s *front.Seat) front.Guest {
+	f.room, err = front.Listen(l, at, most(offer), door, clerk.Count, func(s *front.Seat) front.Guest {
 		return &conn{Seat: s, front: f}
 	})
 	return f, err
 }
 
+// most is how many bytes one connection may bring that are not taken: a request whose body comes in small chunks.
+func most(offer *operator.OData) int { return offer.HTTP.Head + 2*offer.HTTP.Body }
+
 // Offer changes what is offered and its limits. What is under way goes on as it began.
 func (f *Front) Offer(offer *operator.OData) {
 	f.offer = offer
+	if f.room != nil {
+		f.room.Bear(most(offer))
+	}
 	f.memory.Sticky, f.memory.Kept = offer.Repeats.Sticky, offer.Repeats.Kept
 	f.memory.Most, f.memory.Open = offer.Repeats.Bytes, offer.Repeats.Open
 }
@@ -107,7 +116,7 @@
 // Panicked ends what was being served: it may have run.
 func (c *conn) Panicked(cause error) {
 	if !c.Gone {
-		c.Stream.Send(message(aborted(), "4.01", false, true))
+		c.Stream.Send(c.front.message(aborted(), "4.01", false, true))
 	}
 	c.letGo()
 	c.Close()
@@ -117,7 +126,7 @@
 func (c *conn) fail(fault *httpwire.Fault) {
 	c.front.clerk.Count("clients_refused")
 	c.letGo()
-	c.Stream.Send(message(failure(&odata.Error{Status: fault.Status, Code: "BadRequest", Text: fault.Reason}), "4.01", false, true))
+	c.Stream.Send(c.front.message(failure(&odata.Error{Status: fault.Status, Code: "BadRequest", Text: fault.Reason}), "4.01", false, true))
 	c.Close()
 }
 
@@ -181,7 +190,7 @@
 	c.Seat.Served()
 	c.answered = f.loop.Now()
 	c.Wait()
-	c.Stream.Send(message(r, w.version, w.head, w.last))
+	c.Stream.Send(f.message(r, w.version, w.head, w.last))
 	if w.last {
 		c.Close()
 	} else if !w.asking {
@@ -197,9 +206,10 @@
 }
 
 // message writes a whole answer.
-func message(r *reply, version string, head, last bool) []byte {
+func (f *Front) message(r *reply, version string, head, last bool) []byte {
 	out := make([]byte, 0, 256+len(r.fields)+len(r.body))
 	out = httpwire.AppendStatus(out, r.status)
+	out = httpwire.AppendField(out, "Date", f.date())
 	out = httpwire.AppendField(out, "OData-Version", version)
 	out = append(out, r.fields...)
 	if last {
@@ -215,6 +225,14 @@
 	return append(out, r.body...)
 }
 
+// date is the time in HTTP's form, made once a second.
+func (f *Front) date() string {
+	if second := f.loop.Now() / time.Second; second != f.second {
+		f.second, f.now = second, time.Unix(int64(second), 0).UTC().Format(http.TimeFormat)
+	}
+	return f.now
+}
+
 func failure(e *odata.Error) *reply {
 	return &reply{e.Status, httpwire.AppendField(nil, "Content-Type", "application/json"), e.Body()}
 }
--- a/internal/front/odata/judge.go
+++ b/internal/front/odata/judge.go
@@ -298,7 +298,7 @@
 		return odata.Missing("$filter", "$filter on "+r.Set.Name)
 	case len(r.Order) > 0 && !s.Has("order"):
 		return odata.Missing("$orderby", "$orderby on "+r.Set.Name)
-	case r.Count && e.act == odata.List:
+	case r.Count && e.act == odata.List && !s.Has("counted"):
 		return odata.Missing("$count", "$count beside the items of "+r.Set.Name)
 	}
 	if e.act.Writes() && e.match != "" && e.match != "*" {
--- a/internal/front/odata/render.go
+++ b/internal/front/odata/render.go
@@ -145,7 +145,7 @@
 	var kept []string
 	for part := range strings.SplitSeq(query, "&") {
 		name, _, _ := strings.Cut(part, "=")
-		name = strings.TrimPrefix(strings.ReplaceAll(strings.ReplaceAll(name, "%24", "$"), "%2524", "$"), "$")
+		name = strings.TrimPrefix(strings.ReplaceAll(name, "%24", "$"), "$")
 		if part != "" && name != "skip" && name != "top" {
 			kept = append(kept, part)
 		}
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -80,6 +80,9 @@
 // Held tells how many connections there are, and what bytes past the common size they hold.
 func (r *Room) Held() (connections, bytes int) { return r.listener.Held() }
 
+// Bear changes how many bytes that are not taken each new connection may bring.
+func (r *Room) Bear(most int) { r.listener.Bear(most) }
+
 // Yield ends so many connections that another room needs: of those that ask nothing, else the next that are answered.
 func (r *Room) Yield(count int) {
 	r.owed = 0
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -418,6 +418,9 @@
 	return n.Bytes == nil || n.larger+more <= n.Bytes(half)
 }
 
+// Bear changes how many bytes of input each new stream may hold.
+func (n *Listener) Bear(most int) { n.most = most }
+
 // Held tells how many descriptors and bytes past the common size the connections hold.
 func (n *Listener) Held() (descriptors, bytes int) { return n.open, n.larger }
 
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -292,7 +292,10 @@
 	case f == spoilt:
 		value = value[:len(value)-1] + "\""
 	}
-	fmt.Fprintf(&out, "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(value), value)
+	fmt.Fprintf(&out, "Content-Type: application/json\r\nContent-Length: %d\r\n\r\n", len(value))
+	if c.verb != "HEAD" {
+		out.WriteString(value)
+	}
 	if f == spoilt && status == 204 {
 		return []byte("HTTP/1.1 2x4 what\r\n\r\n")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -258,10 +258,7 @@
 		if leave {
 			d.front.Leave()
 		}
-		open += d.front.Sweep(idle, newcomers)
-	}
-	if leave && n.rpcs.Count() > 0 { // nobody waits, yet its outcome may be asked for
-		open++
+		open += d.front.Sweep(idle, newcomers) + d.rpcs // of some nobody waits for the outcome, yet may ask for it
 	}
 	if open == 0 {
 		n.loop.Stop()
@@ -313,12 +310,12 @@
 	}
 	d := n.byFront[by]
 	q := &rpc{door: d, client: from, side: n.pools[n.FormOf(group)], until: until}
-	h := slots.Handle(0)
-	if d.mayTake() {
-		h = n.rpcs.Put(q)
-	} else {
+	if !d.mayTake() {
 		n.Count("rpcs_over_share")
+		by.PushBack(from, 0)
+		return 0
 	}
+	h := n.rpcs.Put(q)
 	if h == 0 {
 		n.Count("rpcs_no_room")
 		by.PushBack(from, 0)
--- a/internal/node/odata_test.go
+++ b/internal/node/odata_test.go
@@ -33,11 +33,12 @@
 		"property \"Id\" { max_length = 60 }\nproperty \"Status\" { nullable = true }\n" +
 		"property \"Version\" {\ntype = \"Edm.Int64\"\nnullable = true\n}\n" +
 		operation("read", read, after, "SELECT doc FROM items WHERE id = {key}") +
-		operation("list", read, after, "SELECT json_agg(doc) FROM items WHERE {where} ORDER BY {order} LIMIT {top} OFFSET {skip}") +
+		operation("list", read, after, "SELECT json_agg(doc) FROM items WHERE {where} ORDER BY {order} LIMIT {top} OFFSET {skip}"+map[string]string{"own": " -- {counted}"}[read]) +
 		operation("count", read, after, "SELECT count(*) FROM items WHERE {where}") +
 		operation("create", "order", "", "INSERT INTO items (id, doc) VALUES ({key}, {body}) RETURNING doc") +
 		operation("update", "order", "", "UPDATE items SET status = {Status} WHERE id = {key} RETURNING doc") +
 		operation("replace", "order", "", "UPDATE items SET doc = {body} WHERE id = {key} AND version = {match} RETURNING doc") +
+		map[string]string{"own": operation("upsert", "order", "", "INSERT INTO items (id, doc) VALUES ({key}, {body}) ON CONFLICT (id) DO UPDATE SET doc = {body} RETURNING doc")}[read] +
 		operation("delete", "pay", "", "DELETE FROM items WHERE id = {key} RETURNING doc") + "}\n"
 }
 
@@ -111,6 +112,9 @@
 					t.Errorf("%s %s: the error %q is no JSON", q.verb, q.target, got.body)
 				}
 			}
+			if head := c.ask("HEAD", "Applications('a')", ""); head.header.Get("Content-Length") == "0" || head.header.Get("Date") == "" {
+				t.Errorf("HEAD is answered with %v", head.header)
+			}
 			created := c.ask("POST", "Applications", entity, "OData-MaxVersion: 4.0")
 			if created.header.Get("Location") != "/odata/Applications('a')" || created.header.Get("Session-Position") == "" ||
 				created.header.Get("OData-Version") != "4.0" {
@@ -134,6 +138,8 @@
 	g := startCluster(t, "pg", 1, always(fine))
 	g.values = func(c *called) string {
 		switch {
+		case strings.HasSuffix(c.text, "-- TRUE"):
+			return `{"count":17,"value":[{"Id":"a"},{"Id":"b"},{"Id":"c"}]}`
 		case strings.Contains(c.text, "json_agg"):
 			return `[{"Id":"a","Status":"x"},{"Id":"b","Status":"y"},{"Id":"c","Status":null}]`
 		case strings.Contains(c.text, "count(*)"):
@@ -158,6 +164,10 @@
 		{"GET", "Applications?$top=2&$select=Id", "", []string{"Accept: application/json;odata.metadata=none"}, 200, `{"value":[{"Id":"a"},{"Id":"b"}]}`},
 		{"GET", "Applications/$count", "", nil, 200, "17"},
 		{"GET", "Applications?$count=true", "", nil, 501, "$count beside the items"},
+		{"GET", "Mine?$count=true&$select=Id", "", nil, 200, `"@odata.count":17,"value":[{"Id":"a"},{"Id":"b"}],"@odata.nextLink":`},
+		{"GET", "Mine?$count=false", "", nil, 200, `"value":[{"Id":"a","Status":"x"}`},
+		{"PUT", "Mine('up')", `{"Status":"x"}`, []string{"Prefer: return=representation"}, 200, `"Id":"up"`},
+		{"PATCH", "Mine('up')", `{"Status":"x"}`, []string{"If-Match: *"}, 204, ""},
 		{"GET", "Applications('a')/Status", "", nil, 200, `"value":"it's"`},
 		{"GET", "Applications('a')/Status/$value", "", nil, 200, "it's"},
 		{"GET", "Applications('nobody')", "", nil, 404, "no such entity"},
@@ -184,6 +194,15 @@
 	}
 	c.ask("GET", "Applications('it''s')?$select=Id", "")
 	calls := g.seen()
+	upserts := 0
+	for _, call := range calls {
+		if strings.Contains(call.text, "ON CONFLICT") {
+			upserts++
+		}
+	}
+	if upserts != 1 { // not where If-Match says that there must be one
+		t.Errorf("%d upserts", upserts)
+	}
 	if last := calls[len(calls)-1].text; last != "SELECT doc FROM items WHERE id = 'it''s'" {
 		t.Errorf("the member was sent %q", last)
 	}
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -549,3 +551,67 @@
 	}
 	d.stop()
 }
+
+// The operator's file is taken over under load: what is offered and its limits change, a file with a mistake changes
+// nothing, and what needs a restart is not half done.
+func TestTheOperatorsFileIsReadAgain(t *testing.T) {
+	g := startCluster(t, "pg", 2, always(fine))
+	d, at := serveOData(t, "", 200, g, "")
+	h := dialHTTP(t, at)
+	text, err := os.ReadFile(d.site.Operator)
+	if err != nil {
+		t.Fatal(err)
+	}
+	end, asked := make(chan bool), make(chan int)
+	go func() {
+		c, n := dial(t, d.at), 0
+		for {
+			select {
+			case <-end:
+				asked <- n
+				return
+			default:
+				n++
+				if got := c.ask(t, statement(fmt.Sprintf("load-%d", n), "look", 2000, 0)); !strings.HasPrefix(got, "ok") {
+					t.Errorf("while the file is read again an RPC hears %s", got)
+				}
+			}
+		}
+	}()
+	write := func(text string) {
+		os.WriteFile(d.site.Operator, []byte(text), 0o600)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	}
+	until := func(what string, ok func() bool) {
+		t.Helper()
+		for range 200 {
+			if ok() {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("%s does not come", what)
+	}
+	time.Sleep(time.Second) // the platform sends no SIGHUP sooner
+	write(strings.Replace(string(text), `set "Mine"`, `set "Own"`, 1))
+	until("a set of another name", func() bool {
+		return h.ask("GET", "Own('a')", "").status == 200 && h.ask("GET", "Mine('a')", "").status == 404
+	})
+	write("front \"odata\" \"offices\" {\nlisten = 7\n}\n")
+	time.Sleep(300 * time.Millisecond)
+	if got := h.ask("GET", "Own('a')", ""); got.status != 200 {
+		t.Errorf("after a file with a mistake: %d", got.status)
+	}
+	write(strings.Replace(string(text), "root = ", "limits { body_bytes = 300 }\nroot = ", 1))
+	until("another limit", func() bool {
+		return dialHTTP(t, at).ask("POST", "Applications", fmt.Sprintf(`{"Id":"a","Status":%q}`, strings.Repeat("x", 400))).status == 413
+	})
+	close(end)
+	if n := <-asked; n < 100 {
+		t.Errorf("only %d RPCs meanwhile", n)
+	}
+	d.stop()
+	if d.counts["reloads"] != 2 || d.counts["reloads_failed"] != 1 {
+		t.Errorf("counted %v", d.counts)
+	}
+}
--- a/internal/odata/sql.go
+++ b/internal/odata/sql.go
@@ -49,7 +49,7 @@
 }
 
 // Blanks are what a statement may leave open.
-var Blanks = []string{"key", "body", "where", "order", "top", "skip", "match"}
+var Blanks = []string{"key", "body", "where", "order", "top", "skip", "match", "counted"}
 
 type blank struct {
 	before string // text in front of it
@@ -109,6 +109,7 @@
 	Top    int
 	Skip   int
 	Match  string // the version that must be there
+	Count  bool   // the number of all items is wanted too
 	Set    *Set
 }
 
@@ -135,6 +136,8 @@
 			out = strconv.AppendInt(out, int64(f.Top), 10)
 		case b.name == "skip":
 			out = strconv.AppendInt(out, int64(f.Skip), 10)
+		case b.name == "counted":
+			out = append(out, strings.ToUpper(strconv.FormatBool(f.Count))...)
 		case b.name == "match":
 			out = AppendText(out, f.Match)
 		}
--- a/internal/repeat/repeat_test.go
+++ b/internal/repeat/repeat_test.go
@@ -161,3 +161,10 @@
 		}
 	})
 }
+
+func TestWhatMayRunAgainAnyTimeIsNeverLate(t *testing.T) {
+	m := memory(false)
+	if v, _ := m.Asked("a", 1, 5*second, 500*second, 1<<20*time.Hour); v != Run {
+		t.Errorf("a harmless repeat gets %d", v)
+	}
+}
