The whole driver runs in simulated time: the loop's system stands behind one interface

Need: rehearsals and every later subsystem want failures caused on purpose, many times faster than real and the same each time. node, fronts, members, list and peers know only the loop's calls, so a second system below the loop carries them unchanged.

Change: loop.System is all that a loop needs of the machine; the kernel is one. internal/loop/sim is another: a world of hosts with one clock, streams in pieces that are delayed, lost and sent again, refused, reset or cut off one way or both, windows that fill, datagrams that are lost, programs that pause, die and start again, and turns that cost time. node.On takes a loop that is there already.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,12 +5,9 @@
 import (
 	"fmt"
 	"log/slog"
-	"os"
 	"runtime/debug"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"passtack/internal/due"
 	"passtack/internal/slots"
 )
@@ -23,14 +20,11 @@
 
 // Loop owns the descriptors and the due times.
 type Loop struct {
-	poll          int
-	bell          int
+	system        System
 	sources       slots.Table[source]
 	dues          due.Queue[func()]
-	began         time.Time
-	zero          time.Duration
 	now           time.Duration
-	events        [512]unix.EpollEvent
+	events        [512]Event
 	stopped       bool
 	spare         [][]byte  // read buffers of the common size that nobody uses
 	larger        int       // bytes that buffers of both directions take past the common size
@@ -43,32 +37,30 @@
 	MakeRoom func() bool
 }
 
-// New makes a loop that holds no more descriptors than most, and no more bytes of long messages than budget.
+// New makes a loop on this machine that holds no more descriptors than most, and no more bytes of long messages than
+// budget.
 func New(most, budget int) (*Loop, error) {
-	poll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	k, err := newKernel()
 	if err != nil {
 		return nil, err
 	}
-	bell, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
-	if err != nil {
-		return nil, err
-	}
-	// What is open already counts too: the runtime holds some for itself and others were handed down. The one
-	// through which they are counted leaves room for one in hand.
-	held, err := os.ReadDir("/proc/self/fd")
+	return On(k, most, budget)
+}
+
+// On is New on another system.
+func On(system System, most, budget int) (*Loop, error) {
+	held, err := system.Held()
 	if err != nil {
 		return nil, err
 	}
-	if most <= len(held) {
-		return nil, fmt.Errorf("%d descriptors are too few: %d are open already", most, len(held))
+	if most <= held {
+		return nil, fmt.Errorf("%d descriptors are too few: %d are open already", most, held)
 	}
-	l := &Loop{poll: poll, bell: bell, began: time.Now(), held: len(held)}
+	l := &Loop{system: system, held: held}
 	l.Limit(most, budget)
 	l.MakeRoom = func() bool { return false }
-	l.zero = time.Duration(l.began.UnixNano())
-	l.now = l.clock()
-	event := unix.EpollEvent{Events: unix.EPOLLIN}
-	return l, unix.EpollCtl(poll, unix.EPOLL_CTL_ADD, bell, &event)
+	l.now = system.Clock()
+	return l, nil
 }
 
 // Limit changes what New was told. What is held beyond it goes as it ends.
@@ -77,9 +69,6 @@
 // Most tells how many descriptors may be held.
 func (l *Loop) Most() int { return l.most }
 
-// clock counts from the start of Unix time, by the clock that never goes back.
-func (l *Loop) clock() time.Duration { return l.zero + time.Since(l.began) }
-
 // Now is the time of this turn: all that happens in one turn happens at once.
 func (l *Loop) Now() time.Duration { return l.now }
 
@@ -99,10 +88,7 @@
 func (l *Loop) Later(act func()) { l.dues.Push(l.now, act) }
 
 // Ring ends the loop's wait from another goroutine.
-func (l *Loop) Ring() {
-	one := [8]byte{1}
-	unix.Write(l.bell, one[:])
-}
+func (l *Loop) Ring() { l.system.Ring() }
 
 // Stop ends the loop after this turn.
 func (l *Loop) Stop() { l.stopped = true }
@@ -110,31 +96,43 @@
 // Run serves until Stop. Rung is called after each Ring.
 func (l *Loop) Run(rung func()) error {
 	for !l.stopped {
-		wait := -1
+		wait := time.Duration(-1)
 		if at, ok := l.dues.First(); ok {
-			wait = int(min(max(0, (at-l.clock()+time.Millisecond-1)/time.Millisecond), 60000))
+			wait = max(0, at-l.system.Clock())
 		}
-		n, err := unix.EpollWait(l.poll, l.events[:], wait)
-		if err != nil && err != unix.EINTR {
+		if err := l.Turn(wait, rung); err != nil {
 			return err
 		}
-		l.now = l.clock()
-		for _, e := range l.events[:max(n, 0)] {
-			if s := l.sources.Get(slots.Handle(e.Fd)); s != nil {
-				l.guard(func() { s.ready(e.Events) }, s.broken)
-			} else if e.Fd == 0 {
-				var count [8]byte
-				unix.Read(l.bell, count[:])
-				l.guard(rung, nil)
-			}
-		}
-		for act, ok := l.dues.Pop(l.now); ok; act, ok = l.dues.Pop(l.now) {
-			l.guard(act, nil)
+	}
+	return nil
+}
+
+// Turn waits no longer than told, serves what is ready once, and then all that is due.
+func (l *Loop) Turn(wait time.Duration, rung func()) error {
+	n, err := l.system.Wait(l.events[:], wait)
+	if err != nil {
+		return err
+	}
+	l.now = l.system.Clock()
+	for _, e := range l.events[:n] {
+		if s := l.sources.Get(e.Handle); s != nil {
+			l.guard(func() { s.ready(e.Ready) }, s.broken)
+		} else if e.Handle == 0 {
+			l.guard(rung, nil)
 		}
 	}
+	for act, ok := l.dues.Pop(l.now); ok; act, ok = l.dues.Pop(l.now) {
+		l.guard(act, nil)
+	}
 	return nil
 }
 
+// NextDue tells when something is due next.
+func (l *Loop) NextDue() (at time.Duration, ok bool) { return l.dues.First() }
+
+// Stopped tells whether the loop has ended.
+func (l *Loop) Stopped() bool { return l.stopped }
+
 type panicked struct{ cause any }
 
 func (p panicked) Error() string { return "panic while it was served" }
@@ -163,8 +161,7 @@
 func (l *Loop) add(fd int, s source, events uint32) (slots.Handle, error) {
 	h := l.sources.Put(s)
 	l.highest = max(l.highest, l.sources.Count())
-	event := unix.EpollEvent{Events: events, Fd: int32(h)}
-	if err := unix.EpollCtl(l.poll, unix.EPOLL_CTL_ADD, fd, &event); err != nil {
+	if err := l.system.Watch(fd, h, events, true); err != nil {
 		l.sources.Drop(h)
 		return 0, err
 	}
@@ -172,15 +169,14 @@
 }
 
 func (l *Loop) change(fd int, h slots.Handle, events uint32) {
-	event := unix.EpollEvent{Events: events, Fd: int32(h)}
-	if err := unix.EpollCtl(l.poll, unix.EPOLL_CTL_MOD, fd, &event); err != nil {
+	if err := l.system.Watch(fd, h, events, false); err != nil {
 		slog.Error("poll_change_failed", "cause", err)
 	}
 }
 
 func (l *Loop) drop(fd int, h slots.Handle) {
 	l.sources.Drop(h)
-	unix.Close(fd)
+	l.system.Close(fd)
 	waiting := l.freed
 	l.freed = nil
 	for _, act := range waiting {
--- /dev/null
+++ b/internal/loop/sim/world.go
@@ -0,0 +1,159 @@
+// Package sim is a network of hosts in simulated time. Each host is a loop.System, so that what runs on a loop runs
+// here unchanged, many programs in one process. One seed gives one course: nothing here asks the real clock, and whatever
+// happens at one moment happens in one order.
+package sim
+
+import (
+	"net/netip"
+	"time"
+
+	"passtack/internal/due"
+	"passtack/internal/loop"
+	"passtack/internal/pcg"
+)
+
+// Link is how bytes go from one host to another.
+type Link struct {
+	Delay  time.Duration // one way
+	Jitter time.Duration // at most as much more, for each piece anew
+	Loss   float64       // part of the pieces that are lost: a stream sends them again later, a datagram is gone
+	Resend time.Duration // after which a stream sends again what was lost
+	Piece  int           // bytes that go at once at most; less is drawn
+	Cut    bool          // nothing arrives until it is mended
+}
+
+// Plain is a link within one data centre.
+var Plain = Link{Delay: 200 * time.Microsecond, Jitter: 100 * time.Microsecond, Resend: 200 * time.Millisecond, Piece: 16 << 10}
+
+// World is simulated time.
+type World struct {
+	now     time.Duration
+	chance  *pcg.Source
+	queue   due.Queue[func()]
+	hosts   []*Host
+	places  map[netip.AddrPort]*socket // who listens, or takes datagrams
+	links   map[[2]*Host]Link
+	ordinal int
+}
+
+// New makes a world whose clock stands at start, counted as Unix time.
+func New(seed uint64, start time.Duration) *World {
+	return &World{now: start, chance: pcg.New(seed), places: make(map[netip.AddrPort]*socket), links: make(map[[2]*Host]Link)}
+}
+
+// Now is the simulated time.
+func (w *World) Now() time.Duration { return w.now }
+
+// At calls once the time has come.
+func (w *World) At(at time.Duration, act func()) { w.queue.Push(max(at, w.now), act) }
+
+// Host adds a machine.
+func (w *World) Host(name string) *Host {
+	h := &Host{Name: name, world: w, sockets: make(map[int]*socket), next: 3, Cost: 20 * time.Microsecond}
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
+// Join says how bytes go between two hosts, both ways.
+func (w *World) Join(a, b *Host, l Link) { w.links[[2]*Host{a, b}], w.links[[2]*Host{b, a}] = l, l }
+
+// OneWay says how bytes go from one host to another.
+func (w *World) OneWay(from, to *Host, l Link) { w.links[[2]*Host{from, to}] = l }
+
+func (w *World) link(from, to *Host) Link {
+	if l, told := w.links[[2]*Host{from, to}]; told {
+		return l
+	}
+	return Plain
+}
+
+// Run goes on until the time, or until nothing is left that could happen.
+func (w *World) Run(until time.Duration) {
+	for {
+		for act, ok := w.queue.Pop(w.now); ok; act, ok = w.queue.Pop(w.now) {
+			act()
+		}
+		for _, h := range w.hosts {
+			h.turn()
+		}
+		next, any := w.queue.First()
+		for _, h := range w.hosts {
+			if at, ok := h.wakes(); ok && (!any || at < next) {
+				next, any = at, true
+			}
+		}
+		if !any || next > until {
+			w.now = max(w.now, until)
+			return
+		}
+		w.now = max(w.now, next)
+	}
+}
+
+// Host is one machine with one program on its loop.
+type Host struct {
+	Name string
+	Cost time.Duration // of a turn of its loop, in which it does nothing else
+
+	world   *World
+	loop    *loop.Loop
+	rung    func()
+	bell    bool
+	sockets map[int]*socket
+	next    int       // descriptor
+	active  []*socket // that may be ready, in the order in which they came to be
+	free    time.Duration
+	paused  time.Duration // until when the program stands still
+	dead    bool
+}
+
+// Serve lets the world turn a loop that was made on this host. Rung is called after each Ring.
+func (h *Host) Serve(l *loop.Loop, rung func()) { h.loop, h.rung = l, rung }
+
+// Pause lets the program stand still; its machine goes on taking what comes.
+func (h *Host) Pause(until time.Duration) { h.paused = max(h.paused, until) }
+
+// Kill ends the program at once: its connections are reset and new ones refused.
+func (h *Host) Kill() {
+	h.dead, h.loop = true, nil
+	for fd := 3; fd < h.next; fd++ {
+		if s := h.sockets[fd]; s != nil {
+			s.reset()
+			h.Close(fd)
+		}
+	}
+	h.active = nil
+}
+
+// Start lets another program run on the host.
+func (h *Host) Start() { h.dead = false }
+
+// wakes tells when the host has something to do.
+func (h *Host) wakes() (at time.Duration, ok bool) {
+	if h.loop == nil || h.loop.Stopped() {
+		return 0, false
+	}
+	if h.bell || h.anyReady() {
+		at, ok = h.world.now, true
+	} else if at, ok = h.loop.NextDue(); !ok {
+		return 0, false
+	}
+	return max(at, h.free, h.paused), true
+}
+
+func (h *Host) anyReady() bool {
+	for _, s := range h.active {
+		if s.ready() != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Host) turn() {
+	if at, ok := h.wakes(); !ok || at > h.world.now {
+		return
+	}
+	h.free = h.world.now + h.Cost
+	h.loop.Turn(0, h.rung)
+}
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -46,14 +46,14 @@
 	out     []byte
 	heavy   int // bytes of out past the common size, as the loop knows of
 	written int // bytes of out that are gone
+	rest    [1][]byte
 }
 
 func (l *Loop) stream(fd int, owner Owner, most int, opening bool) (*Stream, error) {
-	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	s := &Stream{loop: l, fd: fd, owner: owner, most: most, opening: opening}
 	var err error
 	if s.handle, err = l.add(fd, s, s.interest()); err != nil {
-		unix.Close(fd)
+		l.system.Close(fd)
 		return nil, err
 	}
 	return s, nil
@@ -64,32 +64,20 @@
 	if !l.room() {
 		return nil, ErrNoRoom
 	}
-	address, family := sockaddr(to)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.system.Dial(to)
 	if err != nil {
 		return nil, err
 	}
-	if err := unix.Connect(fd, address); err != nil && err != unix.EINPROGRESS {
-		unix.Close(fd)
-		return nil, err
-	}
 	return l.stream(fd, owner, most, true)
 }
 
-func sockaddr(a netip.AddrPort) (unix.Sockaddr, int) {
-	if a.Addr().Is4() {
-		return &unix.SockaddrInet4{Port: int(a.Port()), Addr: a.Addr().As4()}, unix.AF_INET
-	}
-	return &unix.SockaddrInet6{Port: int(a.Port()), Addr: a.Addr().As16()}, unix.AF_INET6
-}
-
 func (s *Stream) interest() uint32 {
-	events := uint32(unix.EPOLLRDHUP)
+	events := uint32(ended)
 	if !s.full && !s.starved && !s.opening && !s.last {
-		events |= unix.EPOLLIN
+		events |= readable
 	}
 	if s.opening || s.Unsent() > 0 {
-		events |= unix.EPOLLOUT
+		events |= writable
 	}
 	return events
 }
@@ -105,19 +93,19 @@
 		s.opened()
 		return
 	}
-	if events&unix.EPOLLOUT != 0 {
+	if events&writable != 0 {
 		s.flush()
 	}
 	if s.closed {
 		return
 	}
-	if s.from != nil && events&unix.EPOLLRDHUP != 0 { // who came and left waits for nothing, whatever was said
+	if s.from != nil && events&ended != 0 { // who came and left waits for nothing, whatever was said
 		s.fail(io.EOF)
 		return
 	}
-	if events&unix.EPOLLIN != 0 && !s.full && !s.starved && !s.last {
+	if events&readable != 0 && !s.full && !s.starved && !s.last {
 		s.read()
-	} else if events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+	} else if events&(ended|broken) != 0 {
 		s.fail(io.EOF)
 	}
 }
@@ -129,10 +117,7 @@
 }
 
 func (s *Stream) opened() {
-	code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
-	if err == nil && code != 0 {
-		err = unix.Errno(code)
-	}
+	err := s.loop.system.Outcome(s.fd)
 	if err != nil {
 		s.fail(err)
 		return
@@ -149,7 +134,7 @@
 		s.update()
 		return
 	}
-	n, err := unix.Read(s.fd, s.buffer[len(s.buffer):cap(s.buffer)])
+	n, err := s.loop.system.Read(s.fd, s.buffer[len(s.buffer):cap(s.buffer)])
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 		return
@@ -281,7 +266,7 @@
 	sent := 0
 	var err error
 	if !s.opening && s.Unsent() == 0 {
-		if sent, err = unix.Writev(s.fd, parts); err != nil {
+		if sent, err = s.loop.system.Write(s.fd, parts); err != nil {
 			sent = 0
 		}
 	}
@@ -302,7 +287,8 @@
 func (s *Stream) Unsent() int { return len(s.out) - s.written }
 
 func (s *Stream) flush() {
-	n, err := unix.Write(s.fd, s.out[s.written:])
+	s.rest[0] = s.out[s.written:]
+	n, err := s.loop.system.Write(s.fd, s.rest[:])
 	if err == unix.EAGAIN || err == unix.EINTR {
 		return
 	} else if err != nil {
@@ -327,18 +313,12 @@
 
 // Age tells how long ago the last of the input came, which may have waited here or to be taken in.
 func (s *Stream) Age() time.Duration {
-	info, err := unix.GetsockoptTCPInfo(s.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil {
-		return 0
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	return s.loop.system.Arrived(s.fd)
 }
 
 // Alive looks whether the other side has closed the stream or said something that was not read yet.
 func (s *Stream) Alive() bool {
-	var one [1]byte
-	_, _, err := unix.Recvfrom(s.fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return !s.closed && err == unix.EAGAIN
+	return !s.closed && s.loop.system.Quiet(s.fd)
 }
 
 const (
@@ -363,7 +343,7 @@
 }
 
 func (s *Stream) goodbye() {
-	unix.Shutdown(s.fd, unix.SHUT_WR)
+	s.loop.system.Goodbye(s.fd)
 	s.loop.At(s.loop.now+linger, func() { s.fail(nil) })
 }
 
@@ -442,21 +422,13 @@
 // lets them hold yield should end one of them.
 func (l *Loop) Listen(at netip.AddrPort, most int, door Door, accept func(open func(Owner) *Stream),
 	yield func(urgent bool)) (*Listener, error) {
-	address, family := sockaddr(at)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.system.Listen(at)
 	if err != nil {
 		return nil, err
 	}
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	if err = unix.Bind(fd, address); err == nil {
-		err = unix.Listen(fd, 1024)
-	}
 	n := &Listener{Door: door, loop: l, fd: fd, most: most, accept: accept, yield: yield}
-	if err == nil {
-		n.handle, err = l.add(fd, n, unix.EPOLLIN)
-	}
-	if err != nil {
-		unix.Close(fd)
+	if n.handle, err = l.add(fd, n, readable); err != nil {
+		l.system.Close(fd)
 		return nil, err
 	}
 	return n, nil
@@ -479,7 +451,7 @@
 			n.pause()
 			return false
 		}
-		fd, _, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := n.loop.system.Accept(n.fd)
 		if err == unix.ECONNABORTED || err == unix.EINTR {
 			continue
 		} else if err == unix.EAGAIN {
@@ -516,7 +488,7 @@
 	resume := func() {
 		if n.paused && n.loop.sources.Get(n.handle) == source(n) {
 			n.paused = false
-			n.loop.change(n.fd, n.handle, unix.EPOLLIN)
+			n.loop.change(n.fd, n.handle, readable)
 		}
 	}
 	n.loop.freed = append(n.loop.freed, resume)
@@ -541,17 +513,13 @@
 
 // Receive waits for datagrams at the address.
 func (l *Loop) Receive(at netip.AddrPort, take func(from netip.AddrPort, text []byte)) (*Datagrams, error) {
-	address, family := sockaddr(at)
-	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := l.system.Receive(at)
 	if err != nil {
 		return nil, err
 	}
 	d := &Datagrams{loop: l, fd: fd, take: take}
-	if err = unix.Bind(fd, address); err == nil {
-		d.handle, err = l.add(fd, d, unix.EPOLLIN)
-	}
-	if err != nil {
-		unix.Close(fd)
+	if d.handle, err = l.add(fd, d, readable); err != nil {
+		l.system.Close(fd)
 		return nil, err
 	}
 	return d, nil
@@ -561,17 +529,10 @@
 
 func (d *Datagrams) ready(uint32) {
 	for range datagramsATurn {
-		n, from, err := unix.Recvfrom(d.fd, d.buffer[:], 0)
+		n, sender, err := d.loop.system.Take(d.fd, d.buffer[:])
 		if err != nil {
 			return
 		}
-		var sender netip.AddrPort
-		switch a := from.(type) {
-		case *unix.SockaddrInet4:
-			sender = netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
-		case *unix.SockaddrInet6:
-			sender = netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
-		}
 		d.take(sender, d.buffer[:n])
 	}
 }
@@ -580,6 +541,5 @@
 
 // Send may lose the text.
 func (d *Datagrams) Send(to netip.AddrPort, text []byte) {
-	address, _ := sockaddr(to)
-	unix.Sendto(d.fd, text, unix.MSG_DONTWAIT, address)
+	d.loop.system.Send(d.fd, to, text)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,9 +78,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("limits: %w", err)
 	}
+	return On(l, site, wants)
+}
+
+// On is New on a loop that is there already, on whatever system; who gave it turns it.
+func On(l *loop.Loop, site *Site, wants *operator.File) (n *Node, err error) {
 	t := terms.New(site.Terms)
-	n := &Node{
-		site: site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
+	n = &Node{
+		lines: new(logs.Lines),
+		site:  site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
 		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
 		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door),
--- /dev/null
+++ b/internal/node/sim_test.go
@@ -0,0 +1,329 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"passtack/internal/loop"
+	"passtack/internal/loop/sim"
+	"passtack/internal/operator"
+	"passtack/internal/pcg"
+	"passtack/internal/pgwire"
+	"passtack/internal/terms"
+)
+
+// What follows runs the whole driver in simulated time, with members and clients on loops of their own.
+
+const epoch = 1767225600 * time.Second
+
+type play struct {
+	t        testing.TB
+	world    *sim.World
+	chance   *pcg.Source
+	record   strings.Builder
+	members  []*simMember
+	drivers  []*simDriver
+	answers  map[string]string // by id
+	ran      map[string]int    // call-outs that may have run, by id
+	sent     int
+	hostOf   map[string]*sim.Host
+	lateCall int
+}
+
+type simMember struct {
+	play *play
+	host *sim.Host
+	at   netip.AddrPort
+	role string
+	loop *loop.Loop
+	work time.Duration
+}
+
+type simDriver struct {
+	host *sim.Host
+	at   netip.AddrPort
+	node *Node
+}
+
+func (p *play) note(format string, args ...any) {
+	fmt.Fprintf(&p.record, "%v %s\n", p.world.Now()-epoch, fmt.Sprintf(format, args...))
+}
+
+func (p *play) loopOn(h *sim.Host) *loop.Loop {
+	l, err := loop.On(h, 1000, 16<<20)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	h.Serve(l, func() {})
+	return l
+}
+
+func (p *play) member(i int, role string) {
+	m := &simMember{play: p, host: p.world.Host(fmt.Sprint("m", i)), at: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:5432", i+1)), role: role}
+	m.work = 20 * time.Millisecond
+	m.start()
+	p.members = append(p.members, m)
+}
+
+func (m *simMember) start() {
+	m.loop = m.play.loopOn(m.host)
+	if _, err := m.loop.Listen(m.at, 1<<20, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
+		c := &simServed{member: m}
+		c.stream = open(c)
+	}, func(bool) {}); err != nil {
+		m.play.t.Fatal(err)
+	}
+}
+
+// simServed is one connection of a member.
+type simServed struct {
+	member *simMember
+	stream *loop.Stream
+	began  bool
+}
+
+func (c *simServed) Opened()          {}
+func (c *simServed) Closed(error)     {}
+func (c *simServed) Panicked(e error) { panic(e) }
+
+func (c *simServed) Input(in []byte) int {
+	m := c.member
+	if !c.began {
+		_, size, err := pgwire.First(in)
+		if err == nil && size > 0 {
+			c.began = true
+			c.stream.Send(pgwire.AppendWelcome(nil, 1))
+		}
+		return size
+	}
+	kind, body, size, err := pgwire.Next(in)
+	if err != nil || size == 0 || kind != 'Q' {
+		return size
+	}
+	text := string(body[:len(body)-1])
+	id, write := field(text, "id"), strings.Contains(text, "INSERT")
+	m.play.note("%s gets %s", m.host.Name, id)
+	if m.play.answers[id] != "" {
+		m.play.lateCall++
+	}
+	answer := func() {
+		out := note2(rows("value of "+id), m)
+		if write && m.role != "leader" {
+			out = note2(pgwire.AppendError(nil, false, "25006", "no", -1), m)
+		} else {
+			m.play.ran[id]++
+		}
+		c.stream.Send(pgwire.AppendReady(out))
+	}
+	m.loop.At(m.loop.Now()+m.work+time.Duration(m.play.chance.Below(10))*time.Millisecond, answer)
+	return size
+}
+
+func note2(out []byte, m *simMember) []byte {
+	out = pgwire.AppendParameter(out, "node_role", m.role)
+	return pgwire.AppendParameter(out, "replay_position", strconv.FormatInt(int64(m.loop.Now()/time.Millisecond), 10))
+}
+
+func (p *play) driver(i int) {
+	d := &simDriver{host: p.world.Host(fmt.Sprint("d", i)), at: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:6543", i+1))}
+	var targets []string
+	for j, m := range p.members {
+		targets = append(targets, fmt.Sprintf(`{"uid":"s-%d","endpoint":"%s","az":"a","pod_group":0,"state":"in_service","capacity_hint":1,"boot_ms":0}`, j, m.at))
+	}
+	site := &Site{
+		Name: d.host.Name, Listen: d.at, Discovery: netip.MustParseAddrPort("10.0.9.1:8500"), Seed: p.chance2(), Descriptors: 256, Memory: 64 << 20,
+		Known: []byte(listOf(1, true, targets...)), Terms: terms.Nested(simSettings(p.t)),
+	}
+	n, err := On(p.loopOn(d.host), site, operator.None())
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	d.node = n
+	p.drivers = append(p.drivers, d)
+}
+
+func (p *play) chance2() uint64 { return uint64(p.chance.Uint32())<<32 | uint64(p.chance.Uint32()) }
+
+// simClient asks one RPC after the other, on one connection for as long as that lasts.
+type simClient struct {
+	play   *play
+	loop   *loop.Loop
+	to     netip.AddrPort
+	name   string
+	stream *loop.Stream
+	asked  int
+	id     string
+	until  time.Duration
+}
+
+func (p *play) client(i int, to netip.AddrPort, until time.Duration) {
+	c := &simClient{play: p, loop: p.loopOn(p.world.Host(fmt.Sprint("c", i))), to: to, name: fmt.Sprint("c", i), until: until}
+	c.loop.Later(c.connect)
+}
+
+func (c *simClient) connect() {
+	if c.loop.Now() > c.until {
+		return
+	}
+	var err error
+	if c.stream, err = c.loop.Dial(c.to, c, 1<<20); err != nil {
+		c.play.t.Fatal(err)
+	}
+	c.stream.Send(pgwire.AppendFirst(nil, "app", "shop"))
+	c.ask()
+}
+
+func (c *simClient) ask() {
+	if c.loop.Now() > c.until {
+		return
+	}
+	c.asked++
+	c.play.sent++
+	c.id = fmt.Sprintf("%s-%d", c.name, c.asked)
+	method := []string{"look", "order", "look", "pay"}[c.asked%4]
+	text := statement(c.id, method, 500, 0)
+	if method == "look" {
+		text = strings.Replace(text, "INSERT INTO items (id, doc) VALUES ('", "SELECT doc FROM items WHERE id = ('", 1)
+	}
+	c.stream.Send(asQuery(text))
+	id := c.id
+	c.loop.At(c.loop.Now()+500*time.Millisecond, func() {
+		if c.id == id && c.play.answers[id] == "" { // nobody has answered in time
+			c.done("nothing")
+			c.stream.Close()
+			c.connect()
+		}
+	})
+}
+
+func (c *simClient) done(what string) {
+	c.play.answers[c.id] = what
+	c.play.note("%s hears %s", c.id, what)
+}
+
+func (c *simClient) Opened()          {}
+func (c *simClient) Panicked(e error) { panic(e) }
+
+func (c *simClient) Closed(cause error) {
+	if c.play.answers[c.id] == "" {
+		c.done("closed")
+	}
+	c.loop.At(c.loop.Now()+50*time.Millisecond, c.connect)
+}
+
+func (c *simClient) Input(in []byte) int {
+	kind, body, size, err := pgwire.Next(in)
+	if err != nil {
+		c.play.t.Fatal(err)
+	}
+	switch {
+	case size == 0:
+		return 0
+	case kind == 'D':
+		c.done("ok")
+	case kind == 'E':
+		pgwire.Fields(body, func(code byte, value []byte) {
+			if code == 'C' {
+				c.done(string(value))
+			}
+		})
+	case kind == 'Z' && c.play.answers[c.id] != "":
+		c.loop.At(c.loop.Now()+10*time.Millisecond, c.ask)
+	}
+	return size
+}
+
+// rehearse plays ten seconds: a member pauses, the primary is killed and a replica takes over, a driver is killed and
+// starts again, a link loses packets.
+func rehearse(t testing.TB, seed uint64) *play {
+	p := &play{t: t, world: sim.New(seed, epoch), chance: pcg.New(seed), answers: make(map[string]string), ran: make(map[string]int)}
+	for i := range 3 {
+		p.member(i, map[bool]string{true: "leader", false: "follower"}[i == 0])
+	}
+	p.driver(0)
+	p.driver(1)
+	for i := range 12 {
+		p.client(i, p.drivers[i%2].at, epoch+10*time.Second)
+	}
+	after := func(d time.Duration, act func()) { p.world.At(epoch+d, act) }
+	after(2*time.Second, func() { p.members[1].host.Pause(epoch + 3*time.Second) })
+	after(4*time.Second, func() { p.members[0].host.Kill() })
+	after(5*time.Second, func() { p.members[1].role = "leader" })
+	after(6*time.Second, func() {
+		p.drivers[0].host.Kill()
+		p.note("d0 dies")
+	})
+	after(6500*time.Millisecond, func() {
+		old := p.drivers[0]
+		old.host.Start()
+		n, err := On(p.loopOn(old.host), old.node.site, operator.None())
+		if err != nil {
+			t.Fatal(err)
+		}
+		old.node = n
+	})
+	after(7500*time.Millisecond, func() {
+		lossy := sim.Plain
+		lossy.Loss, lossy.Jitter = 0.05, 20*time.Millisecond
+		p.world.Join(p.drivers[1].host, p.members[2].host, lossy)
+	})
+	p.world.Run(epoch + 12*time.Second)
+	return p
+}
+
+func simSettings(t testing.TB) map[string]any {
+	return decoded(t, settings)
+}
+
+// The same seed gives the same course to the byte, another seed another; and the rules hold.
+func TestTheDriverInSimulatedTime(t *testing.T) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	digests := make(map[uint64]bool)
+	began := time.Now()
+	for seed := range uint64(4) {
+		p := rehearse(t, seed)
+		again := rehearse(t, seed)
+		if p.record.String() != again.record.String() {
+			t.Fatalf("seed %d has two courses", seed)
+		}
+		hash := fnv.New64a()
+		hash.Write([]byte(p.record.String()))
+		digests[hash.Sum64()] = true
+		counts := make(map[string]int)
+		for id, answer := range p.answers {
+			counts[answer]++
+			turn, _ := strconv.Atoi(id[strings.IndexByte(id, '-')+1:])
+			pay := turn%4 == 3
+			if pay && p.ran[id] > 1 || pay && answer == pushedBack && p.ran[id] > 0 {
+				t.Errorf("seed %d: %s, which must not run twice, hears %s and ran %d times", seed, id, answer, p.ran[id])
+			}
+			if answer == "ok" && p.ran[id] == 0 {
+				t.Errorf("seed %d: %s hears ok though nothing ran", seed, id)
+			}
+		}
+		if counts["ok"] < p.sent*3/4 || counts["ok"] == p.sent || p.sent < 1000 {
+			t.Errorf("seed %d: %d RPCs, answered %v", seed, p.sent, counts)
+		}
+		t.Logf("seed %d: %d RPCs, answered %v", seed, p.sent, counts)
+	}
+	if len(digests) != 4 {
+		t.Errorf("4 seeds have %d courses", len(digests))
+	}
+	t.Logf("96 simulated seconds took %v", time.Since(began))
+}
+
+func decoded(t testing.TB, text string) (object map[string]any) {
+	d := json.NewDecoder(strings.NewReader(text))
+	d.UseNumber()
+	if err := d.Decode(&object); err != nil {
+		t.Fatal(err)
+	}
+	return object
+}
