--- /dev/null
+++ b/internal/emu/record.go
@@ -0,0 +1,204 @@
+package emu
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Effect is what running twice would do.
+type Effect uint8
+
+const (
+	Idempotent Effect = iota
+	Tokened
+	NonIdempotent
+)
+
+// Answers that clients hear.
+const (
+	OK         = "ok"
+	PushedBack = "pushed back"
+	Aborted    = "aborted"
+	Nothing    = "nothing" // none in time, or the connection ended
+)
+
+// Allowed is how far the record may stray from the rules' own times.
+type Allowed struct {
+	Grace time.Duration // after hearing of a drain
+	Slack time.Duration // more than any rule's time, for what is on its way
+}
+
+type asked struct {
+	id, token, driver string
+	effect            Effect
+	at, until, heard  time.Duration
+	answers           []string
+	effects, runs     int
+	stale             string
+}
+
+type arrival struct {
+	id, member, driver string
+	at                 time.Duration
+}
+
+type span struct{ from, to time.Duration }
+
+// Record is what clients and members saw. The rules are checked from that, not from what drivers believe.
+type Record struct {
+	Allowed  Allowed
+	asked    map[string]*asked
+	order    []*asked
+	arrivals []arrival
+	told     map[[2]string]time.Duration // by driver and member
+	down     map[string][]span           // when drivers were dead or stood still
+	tokens   map[string]int              // effects
+	tipped   []string
+}
+
+// NewRecord is empty.
+func NewRecord(a Allowed) *Record {
+	return &Record{Allowed: a, asked: make(map[string]*asked), told: make(map[[2]string]time.Duration),
+		down: make(map[string][]span), tokens: make(map[string]int)}
+}
+
+// Asked notes a try of a client.
+func (r *Record) Asked(id, token, driver string, e Effect, at, until time.Duration) {
+	a := &asked{id: id, token: token, driver: driver, effect: e, at: at, until: until}
+	r.asked[id] = a
+	r.order = append(r.order, a)
+}
+
+// Heard notes what the client heard.
+func (r *Record) Heard(id, answer string, at time.Duration) {
+	if a := r.asked[id]; a != nil {
+		a.answers = append(a.answers, answer)
+		a.heard = at
+	}
+}
+
+// Arrived notes a call-out at a member, Ran that it ran; stale tells what its data lacked, "" where nothing.
+func (r *Record) Arrived(id, member string, at time.Duration) {
+	driver := ""
+	if a := r.asked[id]; a != nil {
+		driver = a.driver
+	}
+	r.arrivals = append(r.arrivals, arrival{id, member, driver, at})
+}
+
+func (r *Record) Ran(id string, effect bool, stale string) {
+	a := r.asked[id]
+	if a == nil {
+		return
+	}
+	if a.runs++; effect {
+		a.effects++
+		if a.token != "" {
+			r.tokens[a.token]++
+		}
+	}
+	a.stale = stale
+}
+
+// Told notes that a driver heard that a member drains or is gone.
+func (r *Record) Told(driver, member string, at time.Duration) {
+	if _, known := r.told[[2]string{driver, member}]; !known {
+		r.told[[2]string{driver, member}] = at
+	}
+}
+
+// Untold notes that a member is in service again.
+func (r *Record) Untold(driver, member string) { delete(r.told, [2]string{driver, member}) }
+
+// Down notes that a driver was dead or stood still, whose duties do not count meanwhile.
+func (r *Record) Down(driver string, from, to time.Duration) {
+	r.down[driver] = append(r.down[driver], span{from, to})
+}
+
+// Tipped notes that a cold member fell over.
+func (r *Record) Tipped(member string) { r.tipped = append(r.tipped, member) }
+
+func (r *Record) excused(a *asked) bool {
+	return slices.ContainsFunc(r.down[a.driver], func(s span) bool { return s.from < a.until && a.at < s.to })
+}
+
+// Counts sums what clients heard.
+func (r *Record) Counts() map[string]int {
+	counts := make(map[string]int)
+	for _, a := range r.order {
+		for _, answer := range a.answers {
+			counts[answer]++
+		}
+	}
+	return counts
+}
+
+// Broken names what breaks a rule, in the order of the rules.
+func (r *Record) Broken(end time.Duration) (broken []string) {
+	say := func(rule int, format string, args ...any) {
+		broken = append(broken, fmt.Sprintf("rule %d: %s", rule, fmt.Sprintf(format, args...)))
+	}
+	for _, a := range r.order {
+		if a.until+r.Allowed.Slack > end || r.excused(a) {
+			continue
+		}
+		switch {
+		case len(a.answers) != 1:
+			say(1, "%s has %d answers", a.id, len(a.answers))
+		case a.answers[0] == Nothing:
+			say(1, "%s of %s has no answer before its time is up", a.id, a.driver)
+		case a.heard > a.until+r.Allowed.Slack:
+			say(1, "%s is answered %v late", a.id, a.heard-a.until)
+		}
+	}
+	for _, c := range r.arrivals {
+		if a := r.asked[c.id]; a != nil && len(a.answers) > 0 && a.answers[0] != Nothing && c.at > a.heard+r.Allowed.Slack {
+			say(1, "%s reaches %s %v after its answer", c.id, c.member, c.at-a.heard)
+		}
+	}
+	for _, a := range r.order {
+		answer := ""
+		if len(a.answers) > 0 {
+			answer = a.answers[0]
+		}
+		if a.effect == NonIdempotent && a.effects > 1 {
+			say(2, "%s had %d effects", a.id, a.effects)
+		}
+		if a.effect != Idempotent && answer == PushedBack && a.effects > 0 {
+			say(2, "%s is pushed back though it had an effect", a.id)
+		}
+		if answer == OK && a.runs == 0 {
+			say(1, "%s is ok though nothing ran", a.id)
+		}
+	}
+	for _, token := range slices.Sorted(keysOf(r.tokens)) {
+		if n := r.tokens[token]; n > 1 {
+			say(2, "token %s had %d effects", token, n)
+		}
+	}
+	for _, c := range r.arrivals {
+		if at, told := r.told[[2]string{c.driver, c.member}]; told && c.at > at+r.Allowed.Grace+r.Allowed.Slack {
+			say(3, "%s reaches %s %v after %s heard that it drains", c.id, c.member, c.at-at, c.driver)
+		}
+	}
+	for _, m := range r.tipped {
+		say(4, "%s was tipped over while cold", m)
+	}
+	for _, a := range r.order {
+		if len(a.answers) > 0 && a.answers[0] == OK && a.stale != "" {
+			say(5, "%s is answered from data that %s", a.id, a.stale)
+		}
+	}
+	return broken
+}
+
+func keysOf(m map[string]int) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
