passtack rehearse: scripts of load and trouble on whole drivers in simulated time, rules checked

Need: the offer week is to be rehearsed before it arrives, and later subsystems need a place where their failures are caused on purpose.

Change: internal/emu/play puts the models of members, groups, discovery and clients behind sockets of loop/sim, beside drivers that run as they are, and plays HCL scripts: fleet, load with surges and retries, eleven kinds of trouble that may overlap, and what is expected. The checker reads the record of what members and clients saw; a call-out that a cut or lossy link held is not taken for one that was sent late.

The same seed gives the same digest.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -12,6 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"passtack/internal/emu/play"
 	"passtack/internal/logs"
 	"passtack/internal/node"
 	"passtack/internal/operator"
@@ -67,6 +69,45 @@
 	return nil
 }
 
+// rehearse plays scripts in simulated time.
+type rehearse struct {
+	Scripts []string `arg:"" help:"What is played (HCL), as those under deploy/rehearsals." type:"existingfile"`
+	Seed    uint64   `help:"Of all chance; the same seed gives the same course." default:"1"`
+	Times   int      `help:"How many seeds are played, from that one on." default:"1"`
+	Log     bool     `help:"Show the drivers' log lines."`
+}
+
+func (c *rehearse) Run() error {
+	if !c.Log {
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+	}
+	var scripts []*play.Script
+	var wrong []error
+	for _, name := range c.Scripts {
+		s, err := play.ReadScript(name)
+		scripts, wrong = append(scripts, s), append(wrong, err)
+	}
+	if err := errors.Join(wrong...); err != nil {
+		return err
+	}
+	missed := 0
+	for _, s := range scripts {
+		for i := range max(c.Times, 1) {
+			r, err := play.Rehearse(s, c.Seed+uint64(i))
+			if err != nil {
+				return err
+			}
+			if r.Print(os.Stdout); !r.Met() {
+				missed++
+			}
+		}
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d of %d rehearsals broke a rule or missed what was expected", missed, len(scripts)*max(c.Times, 1))
+	}
+	return nil
+}
+
 type version struct{}
 
 func (version) Run() error {
@@ -87,9 +128,10 @@
 func main() {
 	slog.SetDefault(slog.New(new(logs.Lines).Handler(os.Stderr)))
 	var command struct {
-		Serve   serve   `cmd:"" help:"Serve clients until SIGTERM."`
-		Check   check   `cmd:"" help:"Read what a driver would be told, and name what is wrong with it."`
-		Version version `cmd:"" help:"Print what this program was built from."`
+		Serve    serve    `cmd:"" help:"Serve clients until SIGTERM."`
+		Check    check    `cmd:"" help:"Read what a driver would be told, and name what is wrong with it."`
+		Rehearse rehearse `cmd:"" help:"Play scripts of load and trouble in simulated time, and check the rules."`
+		Version  version  `cmd:"" help:"Print what this program was built from."`
 	}
 	c := kong.Parse(&command, kong.Name("passtack"), kong.Description("A read/write splitter for database clusters."))
 	if err := c.Run(); err != nil {
--- a/internal/emu/member.go
+++ b/internal/emu/member.go
@@ -30,6 +30,8 @@
 	Delay    time.Duration // of the log on its way to a replica
 	Apply    time.Duration // of one commit by the one thread that applies
 	Window   time.Duration // in which its group drops repeats
+	Blind    bool          // it answers reads from what it has, however old
+	Lies     bool          // it tells a position that it has not reached
 }
 
 // Job is one call-out as a member gets it.
@@ -50,7 +52,8 @@
 // Result is what the member says.
 type Result struct {
 	How      driver.Outcome // OK, Miss, Full or Failed
-	Position time.Duration
+	Position time.Duration  // as it is told
+	Truth    time.Duration  // as it is
 	Role     driver.Role
 	Load     float64 // how busy its cores are, 0 to 1
 	Effect   bool    // it had an effect now, which a dropped repeat has not
@@ -132,7 +135,7 @@
 		m.say(j, driver.Full, false)
 	case j.Write && m.role != driver.Primary:
 		m.say(j, driver.Miss, false)
-	case !j.Write && j.After > m.Position():
+	case !j.Write && !m.Build.Blind && j.After > m.Position():
 		m.wait(j, m.timer.Now()+m.Build.Patience)
 	default:
 		m.queue(j)
@@ -219,7 +222,10 @@
 	if j.gone && how != driver.OK {
 		return
 	}
-	r := Result{how, m.Position(), m.role, m.Load(), effect}
+	r := Result{how, m.Position(), m.Position(), m.role, m.Load(), effect}
+	if m.Build.Lies {
+		r.Position = m.timer.Now()
+	}
 	life := m.life
 	m.timer.At(max(m.timer.Now(), m.paused), func() {
 		if m.life == life {
--- /dev/null
+++ b/internal/emu/play/clients.go
@@ -0,0 +1,228 @@
+package play
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"passtack/internal/emu"
+	"passtack/internal/loop"
+	"passtack/internal/pcg"
+	"passtack/internal/pgwire"
+)
+
+// Clients are all clients, on one loop. RPCs come at the script's rate, whether or not earlier ones are answered.
+type Clients struct {
+	loop     *loop.Loop
+	script   *Script
+	record   *emu.Record
+	chance   *pcg.Source
+	drivers  []netip.AddrPort
+	idle     [][]*line // by driver
+	sessions []time.Duration
+	from     time.Duration
+	next     int
+	total    float64
+	Asked    int // first tries
+	Served   int // of them, in the end
+	Worth    float64
+	Got      float64 // utility answered within the soft deadline, and what late answers bring
+}
+
+// wish is one RPC over all its tries.
+type wish struct {
+	method  *Method
+	session int
+	token   string
+	began   time.Duration
+	tries   int
+}
+
+// line is one connection to a driver.
+type line struct {
+	clients *Clients
+	to      int
+	stream  *loop.Stream
+	wish    *wish
+	id      string
+	due     loop.Due
+	heard   string
+	back    time.Duration
+	commit  time.Duration
+	closed  bool
+}
+
+// NewClients lets clients ask from now on.
+func NewClients(l *loop.Loop, s *Script, r *emu.Record, seed uint64, drivers []netip.AddrPort) *Clients {
+	c := &Clients{loop: l, script: s, record: r, chance: pcg.New(seed), drivers: drivers, idle: make([][]*line, len(drivers)),
+		sessions: make([]time.Duration, s.Sessions), from: l.Now()}
+	for _, m := range s.Methods {
+		c.total += m.Share
+	}
+	l.Later(c.arrive)
+	return c
+}
+
+func (c *Clients) rate() float64 {
+	rate, at := c.script.Rate, c.loop.Now()-c.from
+	for _, s := range c.script.Surges {
+		if at >= s.From && at < s.To {
+			rate *= s.Times
+		}
+	}
+	return rate
+}
+
+func (c *Clients) arrive() {
+	if c.loop.Now()-c.from >= c.script.Lasts {
+		return
+	}
+	dice := c.chance.Float() * c.total
+	w := &wish{session: c.chance.Below(len(c.sessions)), began: c.loop.Now()}
+	for _, m := range c.script.Methods {
+		if w.method = m; dice < m.Share {
+			break
+		}
+		dice -= m.Share
+	}
+	c.Asked++
+	c.Worth += w.method.Utility
+	c.ask(w)
+	gap := -time.Duration(logOf(1-c.chance.Float()) / c.rate() * float64(time.Second))
+	c.loop.At(c.loop.Now()+gap, c.arrive)
+}
+
+// ask sends a try to the driver of its session.
+func (c *Clients) ask(w *wish) {
+	to := w.session % len(c.drivers)
+	var l *line
+	for n := len(c.idle[to]); n > 0 && l == nil; n = len(c.idle[to]) {
+		l = c.idle[to][n-1]
+		if c.idle[to] = c.idle[to][:n-1]; l.closed || !l.stream.Alive() {
+			l = nil
+		}
+	}
+	if l == nil {
+		l = &line{clients: c, to: to}
+		var err error
+		if l.stream, err = c.loop.Dial(c.drivers[to], l, pgwire.Most+1); err != nil {
+			return
+		}
+		l.stream.Send(pgwire.AppendFirst(nil, "app", "shop"))
+	}
+	l.ask(w)
+}
+
+func (l *line) ask(w *wish) {
+	c := l.clients
+	now, m := c.loop.Now(), w.method
+	c.next++
+	w.tries++
+	l.wish, l.id, l.heard, l.back, l.commit = w, fmt.Sprintf("r%d", c.next), "", 0, 0
+	if m.Effect == emu.Tokened && w.token == "" {
+		w.token = "t" + l.id
+	}
+	key := fmt.Sprintf("s%d", w.session)
+	text := fmt.Sprintf("/* id=%s,c=%s,d=%d", l.id, m.Name, m.Limit/time.Millisecond)
+	if w.token != "" {
+		text += ",k=" + w.token
+	}
+	text += fmt.Sprintf(",cluster=%d", w.session%c.script.Groups)
+	if w.tries > 1 {
+		text += ",r=1"
+	}
+	if at := c.sessions[w.session]; m.Need == "session" && at > 0 {
+		text += ",after=" + strconv.FormatInt(int64(at/time.Millisecond), 10)
+	}
+	text += " */ SELECT doc FROM items WHERE id = '" + key + "'"
+	if m.Need == "write" {
+		text = text[:len(text)-len("SELECT doc FROM items WHERE id = '"+key+"'")] + "INSERT INTO items (id, doc) VALUES ('" + key + "', 'x') RETURNING doc"
+	}
+	c.record.Asked(l.id, w.token, fmt.Sprint("d", l.to), m.Effect, now, now+m.Limit)
+	l.stream.Send(append(append(pgwire.AppendHead(nil, 'Q', len(text)+1), text...), 0))
+	l.due = c.loop.At(now+m.Limit+20*time.Millisecond, func() {
+		l.stream.Close()
+		l.closed = true
+		l.done(emu.Nothing)
+	})
+}
+
+// done ends a try; the client may ask again.
+func (l *line) done(answer string) {
+	c, w := l.clients, l.wish
+	if w == nil {
+		return
+	}
+	l.wish = nil
+	c.loop.Forget(l.due)
+	now := c.loop.Now()
+	c.record.Heard(l.id, answer, now)
+	if answer == emu.OK {
+		c.Served++
+		if w.method.Need == "write" && l.commit > 0 {
+			c.sessions[w.session] = max(c.sessions[w.session], l.commit)
+		}
+		if now-w.began <= w.method.Soft {
+			c.Got += w.method.Utility
+		} else {
+			c.Got += w.method.Utility * w.method.Late
+		}
+		return
+	}
+	if w.tries > c.script.Retries || answer == emu.Aborted && w.method.Effect == emu.NonIdempotent || answer == emu.Nothing && w.method.Effect == emu.NonIdempotent {
+		return
+	}
+	if w.method.Effect == emu.Tokened && answer != emu.PushedBack && now-w.began > w.method.Window/2 { // its group may forget it
+		return
+	}
+	wait := 100*time.Millisecond + time.Duration(c.chance.Below(200))*time.Millisecond
+	if c.script.Obeys {
+		wait = max(wait, l.back)
+	}
+	c.loop.At(now+wait, func() { c.ask(w) })
+}
+
+func (l *line) Opened()              {}
+func (l *line) Panicked(cause error) { l.stream.Close() }
+
+func (l *line) Closed(error) {
+	l.closed = true
+	l.done(emu.Nothing)
+}
+
+func (l *line) Input(in []byte) int {
+	kind, body, size, err := pgwire.Next(in)
+	if err != nil {
+		l.stream.Close()
+		l.Closed(err)
+		return 0
+	}
+	switch {
+	case size == 0:
+		return 0
+	case kind == 'S':
+		if name, value, ok := pgwire.Parameter(body); ok && string(name) == "replay_position" {
+			millis, _ := strconv.ParseInt(string(value), 10, 64)
+			l.commit = time.Duration(millis) * time.Millisecond
+		}
+	case kind == 'D':
+		l.heard = emu.OK
+	case kind == 'E':
+		l.heard = emu.Aborted
+		pgwire.Fields(body, func(code byte, value []byte) {
+			if code == 'C' && (string(value) == "53300" || string(value) == "57P03") {
+				l.heard = emu.PushedBack
+			} else if code == 'D' {
+				millis, _ := strconv.Atoi(string(value))
+				l.back = time.Duration(millis) * time.Millisecond
+			}
+		})
+	case kind == 'Z' && l.heard != "":
+		heard := l.heard
+		l.heard = ""
+		l.done(heard)
+		l.clients.idle[l.to] = append(l.clients.idle[l.to], l)
+	}
+	return size
+}
--- /dev/null
+++ b/internal/emu/play/script.go
@@ -0,0 +1,319 @@
+package play
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"passtack/internal/emu"
+)
+
+// Method is one method of a script.
+type Method struct {
+	Name, Need  string
+	Effect      emu.Effect
+	Work        [2]time.Duration
+	Soft, Limit time.Duration
+	Bound       time.Duration
+	Window      time.Duration
+	Utility     float64
+	Late        float64
+	Share       float64 // of the RPCs
+}
+
+// Trouble is something that happens to some of the hosts.
+type Trouble struct {
+	Kind  string
+	At    time.Duration
+	Lasts time.Duration
+	On    []int // which members or drivers
+	Times float64
+}
+
+// Script is what is rehearsed.
+type Script struct {
+	Name            string
+	Lasts           time.Duration
+	Drivers         int
+	Groups, Members int // members of each group
+	Build           emu.Build
+	Election        emu.Election
+	ListDelay       time.Duration
+	Methods         []*Method
+	Rate            float64 // RPCs a second
+	Surges          []Surge
+	Sessions        int
+	Retries         int
+	Obeys           bool // clients come back when they were told
+	Grace           time.Duration
+	Troubles        []Trouble
+	LeastOK         float64 // expected part of the RPCs that are ok
+}
+
+// Surge is a time of another rate.
+type Surge struct {
+	From, To time.Duration
+	Times    float64
+}
+
+func (s *Script) method(name string) *Method {
+	for _, m := range s.Methods {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// kinds are the troubles that there are, and whom they are about.
+var kinds = map[string]string{
+	"pause": "member", "kill": "member", "slow": "member", "theft": "member", "lag": "member", "drain": "member",
+	"driver_kill": "driver", "driver_pause": "driver", "cut": "driver", "loss": "driver", "discovery": "none",
+}
+
+// text is the script as HCL has it.
+type text struct {
+	Lasts string `hcl:"lasts"`
+	Fleet struct {
+		Drivers   int    `hcl:"drivers"`
+		Groups    int    `hcl:"groups,optional"`
+		Members   int    `hcl:"members"`
+		Cores     int    `hcl:"cores,optional"`
+		Queue     int    `hcl:"queue,optional"`
+		Warm      string `hcl:"warm,optional"`
+		Apply     string `hcl:"apply,optional"`
+		ListDelay string `hcl:"list_delay,optional"`
+		Notice    string `hcl:"notice,optional"`
+		Takeover  string `hcl:"takeover,optional"`
+	} `hcl:"fleet,block"`
+	Load struct {
+		Rate     float64 `hcl:"rate"`
+		Sessions int     `hcl:"sessions,optional"`
+		Retries  int     `hcl:"retries,optional"`
+		Obeys    *bool   `hcl:"obeys,optional"`
+		Methods  []struct {
+			Name    string  `hcl:"name,label"`
+			Need    string  `hcl:"need"`
+			Effect  string  `hcl:"effect,optional"`
+			Work    string  `hcl:"work"`
+			Soft    string  `hcl:"soft"`
+			Limit   string  `hcl:"limit"`
+			Bound   string  `hcl:"bound,optional"`
+			Window  string  `hcl:"window,optional"`
+			Utility float64 `hcl:"utility,optional"`
+			Late    float64 `hcl:"late,optional"`
+			Share   float64 `hcl:"share"`
+		} `hcl:"method,block"`
+		Surges []struct {
+			From  string  `hcl:"from"`
+			To    string  `hcl:"to"`
+			Times float64 `hcl:"times"`
+		} `hcl:"surge,block"`
+	} `hcl:"load,block"`
+	Troubles []struct {
+		Kind  string  `hcl:"kind,label"`
+		At    string  `hcl:"at"`
+		Lasts string  `hcl:"lasts,optional"`
+		On    []int   `hcl:"on,optional"`
+		Times float64 `hcl:"times,optional"`
+	} `hcl:"trouble,block"`
+	Expect []struct {
+		OK float64 `hcl:"ok,optional"`
+	} `hcl:"expect,block"`
+}
+
+// ReadScript reads and checks a script; all that is wrong with it is told at once, a line each.
+func ReadScript(name string) (*Script, error) {
+	in, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return ParseScript(in, name)
+}
+
+// mistakes collects what is wrong.
+type mistakes struct{ lines []string }
+
+func (m *mistakes) say(format string, args ...any) {
+	m.lines = append(m.lines, fmt.Sprintf(format, args...))
+}
+
+// ParseScript is ReadScript of a text.
+func ParseScript(in []byte, name string) (*Script, error) {
+	wrong := new(mistakes)
+	parsed, diagnostics := hclsyntax.ParseConfig(in, name, hcl.InitialPos)
+	var t text
+	if !diagnostics.HasErrors() {
+		diagnostics = append(diagnostics, gohcl.DecodeBody(parsed.Body, nil, &t)...)
+	}
+	for _, d := range diagnostics {
+		at := hcl.Range{Filename: name}
+		if d.Subject != nil {
+			at = *d.Subject
+		}
+		wrong.say("%s:%d:%d: %s: %s", at.Filename, at.Start.Line, at.Start.Column, d.Summary, d.Detail)
+	}
+	if diagnostics.HasErrors() {
+		return nil, fmt.Errorf("%s", strings.Join(wrong.lines, "\n"))
+	}
+	lines := places(parsed.Body.(*hclsyntax.Body))
+	s := t.script(func(path, format string, args ...any) {
+		wrong.say("%s:%d: %s: %s", name, lines[path], path, fmt.Sprintf(format, args...))
+	})
+	if len(wrong.lines) > 0 {
+		sort.Strings(wrong.lines)
+		return nil, fmt.Errorf("%s", strings.Join(wrong.lines, "\n"))
+	}
+	s.Name = name
+	return s, nil
+}
+
+// places tells the line of each attribute by its path.
+func places(body *hclsyntax.Body) map[string]int {
+	lines, counts := make(map[string]int), make(map[string]int)
+	var walk func(path string, b *hclsyntax.Body)
+	walk = func(path string, b *hclsyntax.Body) {
+		for name, a := range b.Attributes {
+			lines[path+name] = a.SrcRange.Start.Line
+		}
+		for _, inner := range b.Blocks {
+			at := path + inner.Type
+			for _, l := range inner.Labels {
+				at += " " + l
+			}
+			if inner.Type == "trouble" || inner.Type == "surge" {
+				at = fmt.Sprintf("%s%s %d", path, inner.Type, counts[path+inner.Type]+1)
+				counts[path+inner.Type]++
+			}
+			lines[at] = inner.TypeRange.Start.Line
+			walk(at+" ", inner.Body)
+		}
+	}
+	walk("", body)
+	return lines
+}
+
+func (t *text) script(wrong func(path, format string, args ...any)) *Script {
+	span := func(path, value string, otherwise time.Duration) time.Duration {
+		if value == "" {
+			return otherwise
+		}
+		d, err := time.ParseDuration(value)
+		if err != nil || d < 0 || d > 24*time.Hour {
+			wrong(path, "%q is no time up to 24h", value)
+		}
+		return d
+	}
+	between := func(path, value string, low, high time.Duration) [2]time.Duration {
+		if value == "" {
+			return [2]time.Duration{low, high}
+		}
+		from, to, ranged := strings.Cut(value, "..")
+		if !ranged {
+			to = from
+		}
+		b := [2]time.Duration{span(path, from, 0), span(path, to, 0)}
+		if b[1] < b[0] {
+			wrong(path, "%q ends before it begins", value)
+		}
+		return b
+	}
+	count := func(path string, n, otherwise, most int) int {
+		if n == 0 {
+			return otherwise
+		}
+		if n < 1 || n > most {
+			wrong(path, "%d is not from 1 to %d", n, most)
+		}
+		return n
+	}
+	f := &t.Fleet
+	s := &Script{
+		Lasts: span("lasts", t.Lasts, 0), Drivers: count("fleet drivers", f.Drivers, 1, 500), Groups: count("fleet groups", f.Groups, 1, 100),
+		Members: count("fleet members", f.Members, 1, 50), ListDelay: span("fleet list_delay", f.ListDelay, time.Second), Grace: 250 * time.Millisecond,
+		Build: emu.Build{Cores: count("fleet cores", f.Cores, 4, 256), Queue: count("fleet queue", f.Queue, 64, 10000), Cold: 0.25,
+			Warm: span("fleet warm", f.Warm, 16*time.Second), Multiple: 4, Tips: time.Second, Patience: 50 * time.Millisecond,
+			Delay: 5 * time.Millisecond, Apply: span("fleet apply", f.Apply, time.Millisecond), Window: 1200 * time.Millisecond},
+		Election: emu.Election{Notice: between("fleet notice", f.Notice, time.Second, 2*time.Second),
+			Takeover: between("fleet takeover", f.Takeover, time.Second, 3*time.Second),
+			HandOver: [2]time.Duration{300 * time.Millisecond, 900 * time.Millisecond}, Contest: 300 * time.Millisecond},
+		Rate: t.Load.Rate, Sessions: count("load sessions", t.Load.Sessions, 200, 1<<20), Retries: t.Load.Retries,
+		Obeys: t.Load.Obeys == nil || *t.Load.Obeys,
+	}
+	if s.Lasts < time.Second {
+		wrong("lasts", "%v is under a second", s.Lasts)
+	}
+	if s.Rate <= 0 || s.Rate > 1e5 {
+		wrong("load rate", "%v is not over 0 and up to 100000", s.Rate)
+	}
+	if s.Retries < 0 || s.Retries > 10 {
+		wrong("load retries", "%d is not from 0 to 10", s.Retries)
+	}
+	for _, m := range t.Load.Methods {
+		at := "load method " + m.Name + " "
+		effect, known := map[string]emu.Effect{"": emu.Idempotent, "idempotent": emu.Idempotent, "tokened": emu.Tokened, "non-idempotent": emu.NonIdempotent}[m.Effect]
+		if !known {
+			wrong(at+"effect", "%q is none of idempotent, tokened and non-idempotent", m.Effect)
+		}
+		if !strings.Contains(" any bounded session fresh write ", " "+m.Need+" ") {
+			wrong(at+"need", "%q is none of any, bounded, session, fresh and write", m.Need)
+		}
+		if s.method(m.Name) != nil {
+			wrong("load method "+m.Name, "there are two of this name")
+		}
+		if m.Share <= 0 {
+			wrong(at+"share", "%v is not over 0", m.Share)
+		}
+		if m.Utility == 0 {
+			m.Utility = 1
+		}
+		s.Methods = append(s.Methods, &Method{Name: m.Name, Need: m.Need, Effect: effect, Work: between(at+"work", m.Work, 0, 0),
+			Soft: span(at+"soft", m.Soft, 0), Limit: span(at+"limit", m.Limit, 0), Bound: span(at+"bound", m.Bound, 0),
+			Window: span(at+"window", m.Window, 0), Utility: m.Utility, Late: m.Late, Share: m.Share})
+	}
+	if len(s.Methods) == 0 {
+		wrong("load", "there is no method")
+	}
+	for i, g := range t.Load.Surges {
+		at := fmt.Sprintf("load surge %d ", i+1)
+		surge := Surge{span(at+"from", g.From, 0), span(at+"to", g.To, 0), g.Times}
+		if surge.To <= surge.From || g.Times <= 0 || g.Times > 100 {
+			wrong(strings.TrimSpace(at), "%v to %v, %v times", surge.From, surge.To, g.Times)
+		}
+		s.Surges = append(s.Surges, surge)
+	}
+	for i, x := range t.Troubles {
+		at := fmt.Sprintf("trouble %d", i+1)
+		trouble := Trouble{Kind: x.Kind, At: span(at+" at", x.At, 0), Lasts: span(at+" lasts", x.Lasts, time.Second), On: x.On, Times: x.Times}
+		about, known := kinds[x.Kind]
+		if !known {
+			wrong(at, "there is no trouble %q", x.Kind)
+		}
+		if trouble.At > s.Lasts {
+			wrong(at+" at", "%v is after the end", trouble.At)
+		}
+		most := map[string]int{"member": s.Members * s.Groups, "driver": s.Drivers}[about]
+		for _, n := range x.On {
+			if n < 0 || n >= most {
+				wrong(at+" on", "there is no %s %d", about, n)
+			}
+		}
+		if len(x.On) == 0 && about != "none" && known {
+			wrong(at, "on is missing")
+		}
+		if trouble.Times == 0 {
+			trouble.Times = 4
+		}
+		s.Troubles = append(s.Troubles, trouble)
+	}
+	for _, e := range t.Expect {
+		s.LeastOK = e.OK
+	}
+	return s
+}
--- a/internal/emu/record.go
+++ b/internal/emu/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 )
@@ -51,16 +52,17 @@
 	asked    map[string]*asked
 	order    []*asked
 	arrivals []arrival
-	told     map[[2]string]time.Duration // by driver and member
-	down     map[string][]span           // when drivers were dead or stood still
-	tokens   map[string]int              // effects
+	told     map[[2]string][]span // by driver and member: from hearing of a drain until hearing of a start
+	down     map[string][]span    // when drivers were dead or stood still
+	held     map[string][]span    // when what drivers had sent could arrive late
+	tokens   map[string]int       // effects
 	tipped   []string
 }
 
 // NewRecord is empty.
 func NewRecord(a Allowed) *Record {
-	return &Record{Allowed: a, asked: make(map[string]*asked), told: make(map[[2]string]time.Duration),
-		down: make(map[string][]span), tokens: make(map[string]int)}
+	return &Record{Allowed: a, asked: make(map[string]*asked), told: make(map[[2]string][]span),
+		down: make(map[string][]span), held: make(map[string][]span), tokens: make(map[string]int)}
 }
 
 // Asked notes a try of a client.
@@ -103,19 +105,35 @@
 
 // Told notes that a driver heard that a member drains or is gone.
 func (r *Record) Told(driver, member string, at time.Duration) {
-	if _, known := r.told[[2]string{driver, member}]; !known {
-		r.told[[2]string{driver, member}] = at
+	key := [2]string{driver, member}
+	if known := r.told[key]; len(known) == 0 || known[len(known)-1].to < at {
+		r.told[key] = append(known, span{at, forever})
 	}
 }
 
-// Untold notes that a member is in service again.
-func (r *Record) Untold(driver, member string) { delete(r.told, [2]string{driver, member}) }
+const forever = time.Duration(1<<63 - 1)
+
+// Untold notes that a driver heard that a member is in service again.
+func (r *Record) Untold(driver, member string, at time.Duration) {
+	if known := r.told[[2]string{driver, member}]; len(known) > 0 && known[len(known)-1].to == forever {
+		known[len(known)-1].to = at
+	}
+}
 
 // Down notes that a driver was dead or stood still, whose duties do not count meanwhile.
 func (r *Record) Down(driver string, from, to time.Duration) {
 	r.down[driver] = append(r.down[driver], span{from, to})
 }
 
+// Held notes that what a driver had sent could arrive late: then a call-out's arrival does not tell when it was sent.
+func (r *Record) Held(driver string, from, to time.Duration) {
+	r.held[driver] = append(r.held[driver], span{from, to})
+}
+
+func (r *Record) mayBeOld(c arrival) bool {
+	return slices.ContainsFunc(r.held[c.driver], func(s span) bool { return c.at > s.from && c.at < s.to+time.Second })
+}
+
 // Tipped notes that a cold member fell over.
 func (r *Record) Tipped(member string) { r.tipped = append(r.tipped, member) }
 
@@ -153,7 +171,7 @@
 		}
 	}
 	for _, c := range r.arrivals {
-		if a := r.asked[c.id]; a != nil && len(a.answers) > 0 && a.answers[0] != Nothing && c.at > a.heard+r.Allowed.Slack {
+		if a := r.asked[c.id]; a != nil && len(a.answers) > 0 && a.answers[0] != Nothing && c.at > a.heard+r.Allowed.Slack && !r.mayBeOld(c) {
 			say(1, "%s reaches %s %v after its answer", c.id, c.member, c.at-a.heard)
 		}
 	}
@@ -178,8 +196,10 @@
 		}
 	}
 	for _, c := range r.arrivals {
-		if at, told := r.told[[2]string{c.driver, c.member}]; told && c.at > at+r.Allowed.Grace+r.Allowed.Slack {
-			say(3, "%s reaches %s %v after %s heard that it drains", c.id, c.member, c.at-at, c.driver)
+		for _, s := range r.told[[2]string{c.driver, c.member}] {
+			if c.at > s.from+r.Allowed.Grace+r.Allowed.Slack && c.at < s.to && !r.mayBeOld(c) {
+				say(3, "%s reaches %s %v after %s heard that it drains", c.id, c.member, c.at-s.from, c.driver)
+			}
 		}
 	}
 	for _, m := range r.tipped {
@@ -202,3 +222,15 @@
 		}
 	}
 }
+
+// Digest sums up all that was recorded.
+func (r *Record) Digest() uint64 {
+	hash := fnv.New64a()
+	for _, a := range r.order {
+		fmt.Fprintln(hash, a.id, a.token, a.driver, a.at, a.heard, a.answers, a.effects, a.runs)
+	}
+	for _, c := range r.arrivals {
+		fmt.Fprintln(hash, c.id, c.member, c.at)
+	}
+	return hash.Sum64()
+}
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -495,6 +495,9 @@
 	n.loop.At(n.loop.now+100*time.Millisecond, resume)
 }
 
+// Close takes no connections any more, not even those that wait.
+func (n *Listener) Close() { n.loop.drop(n.fd, n.handle) }
+
 // Drain takes the connections that wait and no more after them.
 func (n *Listener) Drain() {
 	for n.take() {
