Rehearsals on real sockets, and passtack emulate: the models behind loopback addresses

Need: what is simulated has to be held against real processes, and operators want to point a driver of their own at the models.

Clients keep the script's rate when a loop wakes late.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -4,7 +4,9 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -75,6 +77,27 @@
 	Seed    uint64   `help:"Of all chance; the same seed gives the same course." default:"1"`
 	Times   int      `help:"How many seeds are played, from that one on." default:"1"`
 	Log     bool     `help:"Show the drivers' log lines."`
+	Sockets bool     `help:"Play in real time on loopback addresses, with drivers as processes of their own."`
+}
+
+// play plays one script with one seed.
+func (c *rehearse) play(s *play.Script, seed uint64) (*play.Result, error) {
+	if !c.Sockets {
+		return play.Rehearse(s, seed)
+	}
+	itself, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	log := io.Discard
+	if c.Log {
+		log = os.Stderr
+	}
+	r, left, err := play.OnSockets(s, seed, itself, log)
+	if len(left) > 0 {
+		fmt.Printf("not_played=%s\n", strings.Join(left, ","))
+	}
+	return r, err
 }
 
 func (c *rehearse) Run() error {
@@ -93,7 +116,7 @@
 	missed := 0
 	for _, s := range scripts {
 		for i := range max(c.Times, 1) {
-			r, err := play.Rehearse(s, c.Seed+uint64(i))
+			r, err := c.play(s, c.Seed+uint64(i))
 			if err != nil {
 				return err
 			}
@@ -108,6 +131,26 @@
 	return nil
 }
 
+// emulate serves a script's members for whoever wants to point a driver at them.
+type emulate struct {
+	Script string `arg:"" help:"Whose members and troubles are served (HCL)." type:"existingfile"`
+	Seed   uint64 `help:"Of all chance." default:"1"`
+	Listen string `help:"Where the driver of the written file is to listen." default:"127.0.0.1:6543"`
+	Site   string `help:"The file to write, with which a driver can be started." default:"site.json"`
+}
+
+func (c *emulate) Run() error {
+	s, err := play.ReadScript(c.Script)
+	if err != nil {
+		return err
+	}
+	listen, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return fmt.Errorf("listen %q is no address with a port", c.Listen)
+	}
+	return play.Emulate(s, c.Seed, listen, c.Site, os.Stdout)
+}
+
 type version struct{}
 
 func (version) Run() error {
@@ -131,6 +174,7 @@
 		Serve    serve    `cmd:"" help:"Serve clients until SIGTERM."`
 		Check    check    `cmd:"" help:"Read what a driver would be told, and name what is wrong with it."`
 		Rehearse rehearse `cmd:"" help:"Play scripts of load and trouble in simulated time, and check the rules."`
+		Emulate  emulate  `cmd:"" help:"Serve a script's members and discovery on loopback addresses."`
 		Version  version  `cmd:"" help:"Print what this program was built from."`
 	}
 	c := kong.Parse(&command, kong.Name("passtack"), kong.Description("A read/write splitter for database clusters."))
--- a/cmd/passtack/main_test.go
+++ b/cmd/passtack/main_test.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"passtack/internal/pgwire"
 )
 
 const site = `{"name":"n0","listen":"127.0.0.1:6543","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
@@ -51,3 +55,119 @@
 		}
 	}
 }
+
+const short = `lasts = "3s"
+fleet {
+  drivers = 2
+  members = 3
+  notice = "300ms"
+  takeover = "300ms"
+  list_delay = "200ms"
+}
+load {
+  rate = 100
+  retries = 3
+  method "look" {
+    need = "bounded"
+    bound = "800ms"
+    work = "5ms..9ms"
+    soft = "1s"
+    limit = "2s"
+    share = 2
+  }
+  method "order" {
+    need = "write"
+    effect = "tokened"
+    window = "1200ms"
+    work = "2ms..4ms"
+    soft = "600ms"
+    limit = "1s"
+    share = 1
+  }
+}
+trouble "kill" {
+  at = "1s"
+  on = [0]
+}
+trouble "driver_pause" {
+  at = "1500ms"
+  lasts = "300ms"
+  on = [1]
+}
+expect { ok = 0.8 }
+`
+
+// The same script is played in simulated time, and with real drivers as processes on loopback.
+func TestRehearse(t *testing.T) {
+	at := filepath.Join(t.TempDir(), "short.hcl")
+	os.WriteFile(at, []byte(short), 0o600)
+	for _, args := range [][]string{{"rehearse", at}, {"rehearse", "--sockets", at}} {
+		out, ok := passtack(t, args...)
+		if !ok || !strings.Contains(out, "tries_ok=") || strings.Contains(out, "broken") {
+			t.Errorf("%v: %s", args, out)
+		}
+		t.Logf("%v: %s", args[:len(args)-1], out)
+	}
+	os.WriteFile(at, []byte(strings.Replace(short, "ok = 0.8", "ok = 1.1", 1)), 0o600)
+	if out, ok := passtack(t, "rehearse", at); ok || !strings.Contains(out, "1 of 1 rehearsals") {
+		t.Errorf("what is expected and missed: %s", out)
+	}
+}
+
+// A driver that is started with the file that emulate writes serves an RPC from the emulated members.
+func TestEmulate(t *testing.T) {
+	dir := t.TempDir()
+	script, site := filepath.Join(dir, "short.hcl"), filepath.Join(dir, "site.json")
+	os.WriteFile(script, []byte(short), 0o600)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := l.Addr().String()
+	l.Close()
+	var children []*exec.Cmd
+	start := func(args ...string) {
+		c := exec.Command(os.Args[0], args...)
+		c.Env = append(os.Environ(), "PASSTACK_ITSELF=1")
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		children = append(children, c)
+	}
+	defer func() {
+		for _, c := range children {
+			c.Process.Kill()
+			c.Wait()
+		}
+	}()
+	start("emulate", script, "--site", site, "--listen", at)
+	for range 200 {
+		if text, err := os.ReadFile(site); err == nil && len(text) > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	start("serve", "--site", site)
+	for range 100 {
+		c, err := net.Dial("tcp", at)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		c.SetDeadline(time.Now().Add(3 * time.Second))
+		text := "/* id=a,c=look,d=2000,cluster=0 */ SELECT doc FROM items WHERE id = 's'"
+		c.Write(append(pgwire.AppendFirst(nil, "app", "shop"), append(append(pgwire.AppendHead(nil, 'Q', len(text)+1), text...), 0)...))
+		answer := make([]byte, 4096)
+		got := ""
+		for !strings.Contains(got, "value of a") {
+			n, err := c.Read(answer)
+			if err != nil {
+				t.Fatalf("the driver answers %q, then %v", got, err)
+			}
+			got += string(answer[:n])
+		}
+		c.Close()
+		return
+	}
+	t.Fatal("the driver does not listen")
+}
--- a/internal/emu/play/clients.go
+++ b/internal/emu/play/clients.go
@@ -22,6 +22,7 @@
 	idle     [][]*line // by driver
 	sessions []time.Duration
 	from     time.Duration
+	due      time.Duration // of the next
 	next     int
 	total    float64
 	Asked    int // first tries
@@ -56,7 +57,7 @@
 // NewClients lets clients ask from now on.
 func NewClients(l *loop.Loop, s *Script, r *emu.Record, seed uint64, drivers []netip.AddrPort) *Clients {
 	c := &Clients{loop: l, script: s, record: r, chance: pcg.New(seed), drivers: drivers, idle: make([][]*line, len(drivers)),
-		sessions: make([]time.Duration, s.Sessions), from: l.Now()}
+		sessions: make([]time.Duration, s.Sessions), from: l.Now(), due: l.Now()}
 	for _, m := range s.Methods {
 		c.total += m.Share
 	}
@@ -89,8 +90,8 @@
 	c.Asked++
 	c.Worth += w.method.Utility
 	c.ask(w)
-	gap := -time.Duration(logOf(1-c.chance.Float()) / c.rate() * float64(time.Second))
-	c.loop.At(c.loop.Now()+gap, c.arrive)
+	c.due -= time.Duration(logOf(1-c.chance.Float()) / c.rate() * float64(time.Second))
+	c.loop.At(c.due, c.arrive) // a loop that wakes late catches up
 }
 
 // ask sends a try to the driver of its session.
--- a/internal/emu/play/rehearse.go
+++ b/internal/emu/play/rehearse.go
@@ -5,7 +5,6 @@
 	"io"
 	"math"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -169,48 +168,23 @@
 func (st *stage) trouble(t Trouble) {
 	now := st.world.Now()
 	until := now + t.Lasts
-	for _, n := range t.On {
-		switch t.Kind {
-		case "pause":
-			m := st.cluster.members[n]
-			m.model.Pause(until)
-			st.cluster.groups[m.group].Suspect(m.model)
-		case "kill":
-			m := st.cluster.members[n]
-			m.die()
-			st.world.At(until, func() { m.start(0) })
-		case "slow":
-			m := st.cluster.members[n].model
-			m.Slow = t.Times
-			st.world.At(until, func() { m.Slow = 1 })
-		case "theft":
-			m := st.cluster.members[n].model
-			m.Theft = min(t.Times, 0.95)
-			st.world.At(until, func() { m.Theft = 0 })
-		case "lag":
-			m := st.cluster.members[n].model
-			m.Lagging = t.Times
-			st.world.At(until, func() { m.Lagging = 1 })
-		case "drain":
-			m := st.cluster.members[n]
-			m.model.Drain()
-			st.cluster.list(m, "terminating")
-			st.world.At(until, func() {
-				m.die()
-				m.start(0)
-			})
-		case "driver_kill":
+	switch t.Kind {
+	case "driver_kill", "driver_pause":
+		for _, n := range t.On {
 			st.record.Down(fmt.Sprint("d", n), now, until)
+			if t.Kind == "driver_pause" {
+				st.hosts[n].Pause(until)
+				continue
+			}
 			st.hosts[n].Kill()
 			st.world.At(until, func() {
 				if err := st.drive(n); err != nil {
 					st.fault = err
 				}
 			})
-		case "driver_pause":
-			st.record.Down(fmt.Sprint("d", n), now, until)
-			st.hosts[n].Pause(until)
-		case "cut", "loss":
+		}
+	case "cut", "loss":
+		for _, n := range t.On {
 			st.record.Held(fmt.Sprint("d", n), now, until)
 			l := sim.Plain
 			if l.Cut = t.Kind == "cut"; !l.Cut {
@@ -219,20 +193,43 @@
 			st.world.Join(st.hosts[n], st.field, l)
 			st.world.At(until, func() { st.world.Join(st.hosts[n], st.field, sim.Plain) })
 		}
-	}
-	if t.Kind == "discovery" {
-		st.cluster.down = until
+	default:
+		st.field.Do(func() { st.cluster.trouble(t, until) })
 	}
 }
 
-// Rehearsals plays several seeds and gives their results in order.
-func Rehearsals(s *Script, seeds []uint64, each func(*Result)) error {
-	for _, seed := range slices.Sorted(slices.Values(seeds)) {
-		r, err := Rehearse(s, seed)
-		if err != nil {
-			return err
+// trouble lets something happen to members or discovery until then.
+func (c *Cluster) trouble(t Trouble, until time.Duration) {
+	later := func(act func()) { c.loop.At(until, act) }
+	if t.Kind == "discovery" {
+		c.down = until
+	}
+	for _, n := range t.On {
+		m := c.members[n]
+		model := m.model
+		switch t.Kind {
+		case "pause":
+			model.Pause(until)
+			c.groups[m.group].Suspect(model)
+		case "kill":
+			m.die()
+			later(func() { m.start(0) })
+		case "slow":
+			model.Slow = t.Times
+			later(func() { model.Slow = 1 })
+		case "theft":
+			model.Theft = min(t.Times, 0.95)
+			later(func() { model.Theft = 0 })
+		case "lag":
+			model.Lagging = t.Times
+			later(func() { model.Lagging = 1 })
+		case "drain":
+			model.Drain()
+			c.list(m, "terminating")
+			later(func() {
+				m.die()
+				m.start(0)
+			})
 		}
-		each(r)
 	}
-	return nil
 }
--- a/internal/emu/record.go
+++ b/internal/emu/record.go
@@ -234,3 +234,6 @@
 	}
 	return hash.Sum64()
 }
+
+// Arrivals counts the call-outs that members got.
+func (r *Record) Arrivals() int { return len(r.arrivals) }
--- a/internal/loop/sim/world.go
+++ b/internal/loop/sim/world.go
@@ -110,6 +110,13 @@
 // Serve lets the world turn a loop that was made on this host. Rung is called after each Ring.
 func (h *Host) Serve(l *loop.Loop, rung func()) { h.loop, h.rung = l, rung }
 
+// Do lets the program's loop call, in its next turn.
+func (h *Host) Do(act func()) {
+	if h.loop != nil {
+		h.loop.At(h.world.now, act)
+	}
+}
+
 // Pause lets the program stand still; its machine goes on taking what comes.
 func (h *Host) Pause(until time.Duration) { h.paused = max(h.paused, until) }
 
