passlab experiment: rehearsals over scripts, arms and seeds, kept as CSV, Parquet and a chart

Need: one play tells little; what a change does has to be seen over many seeds and against another arm.

Change: internal/lab plays scripts, arms and seeds on all cores, keeps whole rows also at an interrupt (parquet-go, gonum/plot), and sums up with paired differences.

--- a/internal/emu/record.go
+++ b/internal/emu/record.go
@@ -21,7 +21,8 @@
 	OK         = "ok"
 	PushedBack = "pushed back"
 	Aborted    = "aborted"
-	Nothing    = "nothing" // none in time, or the connection ended
+	Nothing    = "nothing"   // none in time, or the connection ended
+	NotTaken   = "not taken" // nothing either, on a connection that the driver has never let in
 )
 
 // Allowed is how far the record may stray from the rules' own times.
@@ -80,6 +81,14 @@
 	}
 }
 
+// DriverOf tells by which driver a try went.
+func (r *Record) DriverOf(id string) string {
+	if a := r.asked[id]; a != nil {
+		return a.driver
+	}
+	return ""
+}
+
 // Arrived notes a call-out at a member, Ran that it ran; stale tells what its data lacked, "" where nothing.
 func (r *Record) Arrived(id, member string, at time.Duration) {
 	driver := ""
@@ -158,7 +167,7 @@
 		broken = append(broken, fmt.Sprintf("rule %d: %s", rule, fmt.Sprintf(format, args...)))
 	}
 	for _, a := range r.order {
-		if a.until+r.Allowed.Slack > end || r.excused(a) {
+		if a.until+r.Allowed.Slack > end || r.excused(a) || len(a.answers) == 1 && a.answers[0] == NotTaken {
 			continue
 		}
 		switch {
@@ -171,7 +180,7 @@
 		}
 	}
 	for _, c := range r.arrivals {
-		if a := r.asked[c.id]; a != nil && len(a.answers) > 0 && a.answers[0] != Nothing && c.at > a.heard+r.Allowed.Slack && !r.mayBeOld(c) {
+		if a := r.asked[c.id]; a != nil && len(a.answers) > 0 && a.answers[0] != Nothing && a.answers[0] != NotTaken && c.at > a.heard+r.Allowed.Slack && !r.mayBeOld(c) {
 			say(1, "%s reaches %s %v after its answer", c.id, c.member, c.at-a.heard)
 		}
 	}
--- /dev/null
+++ b/internal/lab/keep.go
@@ -0,0 +1,107 @@
+package lab
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/parquet-go/parquet-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Keep writes the rows into a folder, as rows.csv and rows.parquet, and a chart of utility.png. Each file is whole or not
+// there.
+func Keep(folder string, rows []Row) error {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	for name, write := range map[string]func(io.Writer) error{
+		"rows.csv":     func(out io.Writer) error { return writeCSV(out, rows) },
+		"rows.parquet": func(out io.Writer) error { return parquet.Write(out, rows) },
+		"utility.png":  func(out io.Writer) error { return chart(out, rows) },
+	} {
+		if err := whole(filepath.Join(folder, name), write); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func whole(name string, write func(io.Writer) error) error {
+	f, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name))
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name())
+	if err := write(f); err != nil {
+		f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	if err := os.Chmod(f.Name(), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), name)
+}
+
+func writeCSV(out io.Writer, rows []Row) error {
+	w := csv.NewWriter(out)
+	w.Write([]string{"script", "arm", "seed", "rpcs", "ok", "utility", "pushed_back", "aborted", "nothing", "broken", "p50_ms", "p99_ms", "digest"})
+	number := func(f float64) string { return strconv.FormatFloat(f, 'f', 4, 64) }
+	for _, r := range rows {
+		w.Write([]string{r.Script, r.Arm, fmt.Sprint(r.Seed), fmt.Sprint(r.RPCs), number(r.OK), number(r.Utility), fmt.Sprint(r.PushedBack),
+			fmt.Sprint(r.Aborted), fmt.Sprint(r.Nothing), fmt.Sprint(r.Broken), number(r.P50), number(r.P99), r.Digest})
+	}
+	w.Flush()
+	return w.Error()
+}
+
+// ReadParquet reads rows that Keep has written.
+func ReadParquet(name string) ([]Row, error) { return parquet.ReadFile[Row](name) }
+
+// chart draws a box of utility for each arm of each script.
+func chart(out io.Writer, rows []Row) error {
+	p := plot.New()
+	p.Y.Label.Text = "utility in time"
+	var names []string
+	for _, s := range Summarize(rows) {
+		var values plotter.Values
+		for _, r := range rows {
+			if r.Script == s.Script && r.Arm == s.Arm {
+				values = append(values, r.Utility)
+			}
+		}
+		box, err := plotter.NewBoxPlot(vg.Points(18), float64(len(names)), values)
+		if err != nil {
+			return err
+		}
+		p.Add(box)
+		names = append(names, s.Script+"\n"+s.Arm)
+	}
+	p.NominalX(names...)
+	w, err := p.WriterTo(vg.Length(max(len(names), 3))*1.4*vg.Inch, 4*vg.Inch, "png")
+	if err != nil {
+		return err
+	}
+	_, err = w.WriteTo(out)
+	return err
+}
+
+// Print writes the summaries as a table.
+func Print(out io.Writer, all []Summary) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "script\tarm\tseeds\tutility\tleast\tmost\tagainst first\tok\tp99 ms\tbroken\t")
+	for _, s := range all {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.4f\t%.4f\t%.4f\t%+.4f ± %.4f\t%.4f\t%.1f\t%d\t\n", s.Script, s.Arm, s.Seeds, s.Mean, s.Least, s.Most, s.Against,
+			s.Scatter, s.OK, s.P99, s.Broken)
+	}
+	w.Flush()
+}
