Cold members get their whole part from many drivers, and more as they show what they can do

At fault was coldRoom: dice cast once a window let one RPC through with the chance of the driver's part, also where the driver has an RPC for the member in one window of twenty only, so a twentieth of the part was used.

The dice now count for what the driver would ask of the member in a window, no more than one RPC; one cast for all cold members of a group, since each RPC goes to one of them. What has waited, or has few members left, counts for more, as do surges that all see. What a cold member answered in a window it can do: root(k) times that in the next is under k times it, bursts and all, for any number of drivers.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -74,18 +74,19 @@
 	group                     *group
 	listed, drains, sendable  bool              // drains: seen draining since its latest start
 	missed                    bool              // its latest single RPC got no answer in time
-	started, doubtAt, asideAt time.Duration     // the latest start that was listed; when it was dropped, set aside
+	started, doubtAt, asideAt time.Duration     // latest start listed; when it was dropped, set aside
 	pos, posAt                time.Duration     // it has applied all commits up to pos; when that was told
 	replicaAt                 time.Duration     // latest proof that it is a replica
 	heard                     time.Duration     // latest answer, or start of being busy
 	ratio, depth              float64           // its latencies against the usual; call-outs out then
-	fails                     float64           // part of its latest call-outs that found no connection or lost it
-	load, dice                float64           // recent seconds of work: sent to it while cold, else answered
+	fails                     float64           // part of its latest call-outs without a connection
+	load, shown               float64           // recent work: load is sent while cold, else answered
 	out                       chain.Chain[*rpc] // in the order in which they were sent
 	fades                     fade
 	trickle                   int           // call-outs it may hold, 0: trusted
-	pause, nextTry, diceAt    time.Duration // between trickles that fail; diceAt: when the dice were cast
+	pause, nextTry            time.Duration // between trickles that fail
 	timedAt, loadAt, probedAt time.Duration // latest latency, work and probe
+	shownAt                   time.Duration
 }
 
 type group struct {
@@ -93,6 +94,8 @@
 	primary   *member
 	primaryAt time.Duration // when the primary was proven so
 	scouts    int
+	dice      float64 // which RPCs go to its cold members now: one for all, as each RPC goes to one of them
+	diceAt    time.Duration
 }
 
 type callOut struct {
@@ -140,6 +143,8 @@
 	fades                fade
 	pace, failing        float64 // latest latencies against the usual; part of the members that fail
 	probes, borne        float64 // that may be sent now; what warm members bear from here, as member.load
+	came, fresh, ready   float64 // recent work asked for, of it by first tries; members to send to
+	cameAt               time.Duration
 	held                 []*rpc
 }
 
@@ -197,6 +202,10 @@
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
 	q.wanted = r.firstSeen(q.method, now, until, repeat)
+	r.came, r.fresh = r.recent(r.came, now-r.cameAt)+q.method.usual.Seconds(), r.recent(r.fresh, now-r.cameAt)
+	if r.cameAt = now; q.wanted == now {
+		r.fresh += q.method.usual.Seconds()
+	}
 	if token, ok := r.tokens[who]; ok {
 		q.token = token
 	} else if wrote > 0 {
@@ -344,12 +353,14 @@
 		return false
 	}
 	lately := func(c callOut) bool { return c.to == m && c.turned > now-askAgain*time.Duration(len(q.calls)) }
-	return !slices.ContainsFunc(q.calls, lately) && r.coldRoom(m, q.method.usual.Seconds(), now)
+	return !slices.ContainsFunc(q.calls, lately) && r.coldRoom(m, q, now)
 }
 
-func (r *Router) loadOf(m *member, now time.Duration) float64 {
-	window := max(r.terms.Span("rules.cold_window"), r.tick)
-	return m.load * math.Exp(-float64(now-m.loadAt)/float64(window))
+func (r *Router) loadOf(m *member, now time.Duration) float64 { return r.recent(m.load, now-m.loadAt) }
+
+// recent is what still counts of work after some time.
+func (r *Router) recent(work float64, age time.Duration) float64 {
+	return work * math.Exp(-float64(age)/float64(max(r.terms.Span("rules.cold_window"), r.tick)))
 }
 
 func (r *Router) cold(m *member, now time.Duration) bool {
@@ -357,25 +368,51 @@
 }
 
 // coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
-// from what warm ones answer. Where that is less than one RPC a window, the dice let one through in some.
-func (r *Router) coldRoom(m *member, work float64, now time.Duration) bool {
+// from what warm ones answer, rounded to whole RPCs by dice that are cast once a window. A driver that has
+// an RPC for it in few windows only would use little of its part: there the dice count for what it asks of
+// the member in a window, more where all ask for more, this RPC has waited or has few members left to go to.
+// Where nothing warm is known, half of what clients ask for holds until more is shown. What a member has
+// answered in a window it can do, and root(k) times that in the next is under k times it, bursts and all.
+func (r *Router) coldRoom(m *member, q *rpc, now time.Duration) bool {
 	if !r.cold(m, now) {
 		return true
 	}
-	if now-m.diceAt > r.terms.Span("rules.cold_window") {
-		m.dice, m.diceAt = r.chance.Float(), now
+	window := max(r.terms.Span("rules.cold_window"), r.tick)
+	if g := m.group; now-g.diceAt > window {
+		g.dice, g.diceAt = r.chance.Float(), now
 	}
-	share := r.terms.Number("rules.cold_share", 1)
+	multiple, share := r.terms.Number("rules.cold_multiple", 1), r.terms.Number("rules.cold_share", 1)
 	share += (1 - share) * max(0, float64(now-m.started)/float64(r.terms.Span("rules.cold_lasts")))
-	room := coldPart * share * r.terms.Number("rules.cold_multiple", 1) * r.borne
-	return r.loadOf(m, now)+work*m.dice <= room
+	all, left := m.group.takers(q)
+	work, borne := q.method.usual.Seconds(), max(r.borne, r.recent(r.fresh, now-r.cameAt)/max(r.ready, 1)/2)
+	asked := max(borne, (r.recent(r.came, now-r.cameAt)-work)/max(r.ready, 1)) * all / left
+	asked *= 1 + max(0, (now-q.wanted).Seconds()/window.Seconds())
+	room := max(coldPart*share*multiple*borne, math.Sqrt(multiple)*r.recent(m.shown, now-m.shownAt))
+	return r.loadOf(m, now)+min(work, asked)*m.group.dice <= room
+}
+
+// takers are how many of the group's members RPCs like this one go to on usual days, and to how many of them
+// this one still may.
+func (g *group) takers(q *rpc) (all, left float64) {
+	for _, m := range g.members {
+		if m.sendable && (m == g.primary) == (q.method.need == write || q.method.need == fresh) {
+			all++
+			if m.trickle == 0 && !slices.ContainsFunc(q.calls, func(c callOut) bool { return c.to == m }) {
+				left++
+			}
+		}
+	}
+	return max(all, 1), max(left, 1)
 }
 
 // survey measures how often members fail and what warm ones bear. Once none is left, what they bore holds.
 func (r *Router) survey(now time.Duration) {
 	total, count := make(map[bool]float64), make(map[bool]float64) // of replicas and of primaries
-	r.failing = 0
+	r.failing, r.ready = 0, 0
 	for _, m := range r.all {
+		if m.sendable {
+			r.ready++
+		}
 		r.failing += math.Ceil(m.fails-memory/2) / float64(len(r.all)) // 1 for each that failed of late
 		if m.sendable && m.trickle == 0 && !r.cold(m, now) {
 			kind := m == m.group.primary
@@ -604,8 +641,10 @@
 		r.latency(q.method, m, took)
 		m.depth += smoothing * (float64(c.depth) - m.depth)
 		m.heard, m.missed, m.fails, m.pause = now, false, m.fails*(1-memory), askAgain
-		if !r.cold(m, now) {
-			m.load, m.loadAt = r.loadOf(m, now)+q.method.usual.Seconds(), now
+		if work := q.method.usual.Seconds(); r.cold(m, now) {
+			m.shown, m.shownAt = r.recent(m.shown, now-m.shownAt)+work, now
+		} else {
+			m.load, m.loadAt = r.loadOf(m, now)+work, now
 		}
 		if m.trickle > 0 { // one more for each that goes well doubles it each time around
 			if m.trickle++; m.trickle > trusted || c.sent < m.asideAt {
@@ -787,7 +826,7 @@
 func (r *Router) groupOf(id driver.Group) *group {
 	g := r.groups[id]
 	if g == nil {
-		g = &group{primaryAt: never}
+		g = &group{primaryAt: never, diceAt: never}
 		r.groups[id] = g
 	}
 	return g
@@ -807,14 +846,14 @@
 		m = &member{
 			id: id, zone: zone, group: g, pos: never, posAt: never, replicaAt: never, heard: never,
 			ratio: 1, timedAt: r.host.Now(), pause: askAgain, probedAt: never, loadAt: never / 2,
-			started: started, doubtAt: never, diceAt: never,
+			started: started, doubtAt: never,
 		}
 		r.members[id] = m
 		r.all = append(r.all, m)
 		g.members = append(g.members, m)
 	}
 	if started > m.started {
-		m.ratio, m.depth, m.load, m.drains = 1, 0, 0, false
+		m.ratio, m.depth, m.load, m.shown, m.drains = 1, 0, 0, 0, false
 	}
 	m.started = max(m.started, started)
 	m.drains = state == driver.Draining || m.drains && (r.lax || state == driver.Gone)
@@ -826,7 +865,8 @@
 
 // forgotten drops a member that was off the list and silent for long, but no drain that may still bind.
 func (r *Router) forgotten(m *member) bool {
-	if m.listed || m.out.Count() > 0 || r.lax && m.drains || r.host.Now()-max(m.doubtAt, m.posAt) < absent[r.lax] {
+	silent := r.host.Now() - max(m.doubtAt, m.posAt)
+	if m.listed || m.out.Count() > 0 || r.lax && m.drains || silent < absent[r.lax] {
 		return false
 	}
 	delete(r.members, m.id)
