Links of single roads in simulated time; streams can be reset, loops be closed

A loop closes all that it holds, so that one process can play one script after the other. TestRoadsAreTroubledAlone, TestDatagramsInTrouble.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -16,6 +16,7 @@
 type source interface {
 	ready(events uint32)
 	broken(cause error) // a panic came while it was served
+	Close()
 }
 
 // Loop owns the descriptors and the due times.
@@ -93,6 +94,12 @@
 // Stop ends the loop after this turn.
 func (l *Loop) Stop() { l.stopped = true }
 
+// Close ends all that is open, once the loop has ended. Nobody is told.
+func (l *Loop) Close() {
+	l.sources.Each(func(_ slots.Handle, s source) { s.Close() })
+	l.system.End()
+}
+
 // Run serves until Stop. Rung is called after each Ring.
 func (l *Loop) Run(rung func()) error {
 	for !l.stopped {
@@ -174,9 +181,9 @@
 	}
 }
 
-func (l *Loop) drop(fd int, h slots.Handle) {
+func (l *Loop) drop(fd int, h slots.Handle, how func(fd int)) {
 	l.sources.Drop(h)
-	l.system.Close(fd)
+	how(fd)
 	waiting := l.freed
 	l.freed = nil
 	for _, act := range waiting {
--- a/internal/loop/sim/sim_test.go
+++ b/internal/loop/sim/sim_test.go
@@ -204,3 +204,98 @@
 		t.Errorf("%d of 1000 came", got)
 	}
 }
+
+// What is said of one road holds for that one only, and for each direction alone.
+func TestRoadsAreTroubledAlone(t *testing.T) {
+	p := newPair(t, 3)
+	other := netip.MustParseAddrPort("10.0.0.1:2")
+	var second *end
+	if _, err := p.loops[1].Listen(other, 1<<20, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
+		second = &end{loop: p.loops[1]}
+		second.stream = open(second)
+	}, func(bool) {}); err != nil {
+		t.Fatal(err)
+	}
+	p.dial(t)
+	straight := &end{loop: p.loops[0]}
+	straight.stream, _ = p.loops[0].Dial(other, straight, 1<<20)
+	p.run(100 * time.Millisecond)
+
+	cut := Plain
+	cut.Cut = true
+	p.world.Bend(p.hosts[0], at, cut, Plain)
+	p.here.stream.Send([]byte("held"))
+	straight.stream.Send([]byte("goes"))
+	p.there.stream.Send([]byte("back"))
+	p.run(time.Second)
+	if p.there.got.Len() != 0 || second.got.String() != "goes" || p.here.got.String() != "back" {
+		t.Errorf("there %q, elsewhere %q, back %q", p.there.got.String(), second.got.String(), p.here.got.String())
+	}
+	p.world.Straighten(p.hosts[0], at)
+	p.run(time.Second)
+	if p.there.got.String() != "held" {
+		t.Errorf("after the cut %q has come", p.there.got.String())
+	}
+
+	thin := Plain
+	thin.Rate = 1000
+	p.world.Bend(p.hosts[0], at, thin, Plain)
+	began := p.world.Now()
+	p.here.stream.Send(make([]byte, 2000))
+	p.run(10 * time.Second)
+	if took := p.there.at - began; p.there.got.Len() != 2004 || took < 1900*time.Millisecond || took > 2300*time.Millisecond {
+		t.Errorf("%d bytes after %v at 1000 a second", p.there.got.Len(), took)
+	}
+
+	p.world.Break(p.hosts[0], at)
+	p.run(time.Second)
+	if !p.here.closed || !p.there.closed || straight.closed {
+		t.Errorf("reset: here %v, there %v, elsewhere %v", p.here.closed, p.there.closed, straight.closed)
+	}
+	refuse := Plain
+	refuse.Refuse = true
+	p.world.Bend(p.hosts[0], at, refuse, Plain)
+	if p.dial(t); p.here.opened || !p.here.closed {
+		t.Error("a connection is taken though it should be refused")
+	}
+}
+
+// Datagrams come twice, out of order or not at all as often as told, and to all of a crowd but who sent them.
+func TestDatagramsInTrouble(t *testing.T) {
+	p := newPair(t, 4)
+	a, b, all := netip.MustParseAddrPort("10.0.0.1:7"), netip.MustParseAddrPort("10.0.0.2:7"), netip.MustParseAddrPort("10.0.0.9:7")
+	var got []byte
+	echoes := 0
+	out, err := p.loops[0].Receive(a, func(netip.AddrPort, []byte) { echoes++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.loops[1].Receive(b, func(_ netip.AddrPort, text []byte) { got = append(got, text...) }); err != nil {
+		t.Fatal(err)
+	}
+	p.world.Crowd(all, []netip.AddrPort{a, b})
+	bad := Plain
+	bad.Loss, bad.Double, bad.Reorder, bad.Late = 0.2, 0.3, 0.3, 20*time.Millisecond
+	p.world.Bend(p.hosts[0], b, bad, Plain)
+	for i := range 250 {
+		out.Send(all, []byte{byte(i)})
+		p.run(2 * time.Millisecond)
+	}
+	p.run(time.Second)
+	times, swapped := make(map[byte]int), 0
+	for i, n := range got {
+		times[n]++
+		if i > 0 && n < got[i-1] {
+			swapped++
+		}
+	}
+	twice := 0
+	for _, n := range times {
+		if n == 2 {
+			twice++
+		}
+	}
+	if lost := 250 - len(times); lost < 30 || lost > 70 || twice < 40 || twice > 90 || swapped < 20 || echoes != 0 {
+		t.Errorf("of 250: %d lost, %d twice, %d overtaken, %d came back", lost, twice, swapped, echoes)
+	}
+}
--- a/internal/loop/sim/sockets.go
+++ b/internal/loop/sim/sockets.go
@@ -34,6 +34,7 @@
 	fd       int
 	kind     kind
 	at       netip.AddrPort
+	way      way // of a stream: how what it sends goes
 	handle   slots.Handle
 	wants    uint32
 	isActive bool
@@ -155,22 +156,24 @@
 		w.At(w.now+2*Plain.Delay, func() { s.refuse(unix.ECONNREFUSED) })
 		return fd, nil
 	}
-	w.carry(h, place.host, 0, true, func() { w.knock(s, place, to) })
+	s.way = way{road: road{h, to}, from: h, to: place.host}
+	w.carry(s.way, 0, true, 0, func() { w.knock(s, place, to) })
 	return fd, nil
 }
 
 func (w *World) knock(s, place *socket, to netip.AddrPort) {
 	target := w.places[to]
-	if target == nil || target.kind != listener || len(target.waiting) >= backlog {
-		w.carry(place.host, s.host, 0, true, func() { s.refuse(unix.ECONNREFUSED) })
+	back := way{road: s.way.road, from: place.host, to: s.host, back: true}
+	if target == nil || target.kind != listener || len(target.waiting) >= backlog || w.link(s.way).Refuse {
+		w.carry(back, 0, true, 0, func() { s.refuse(unix.ECONNREFUSED) })
 		return
 	}
-	other := &socket{kind: stream, at: to, peer: s, latest: w.now}
+	other := &socket{kind: stream, at: to, peer: s, latest: w.now, way: back}
 	s.peer = other
 	other.host = target.host
 	target.waiting = append(target.waiting, other)
 	target.touch()
-	w.carry(target.host, s.host, 0, true, func() {
+	w.carry(back, 0, true, 0, func() {
 		if !s.closed {
 			s.opening, s.latest = false, w.now
 			s.touch()
@@ -197,8 +200,8 @@
 
 // carry lets something arrive at another host. What a stream sends arrives in order, however late; while the link is cut
 // it waits, and a datagram is gone.
-func (w *World) carry(from, to *Host, after time.Duration, again bool, arrive func()) (at time.Duration) {
-	l := w.link(from, to)
+func (w *World) carry(by way, after time.Duration, again bool, bytes int, arrive func()) (at time.Duration) {
+	l := w.link(by)
 	at = w.now + l.Delay
 	if l.Jitter > 0 {
 		at += time.Duration(w.chance.Float() * float64(l.Jitter))
@@ -209,10 +212,15 @@
 		}
 		at += max(l.Resend, time.Millisecond)
 	}
-	at = max(at, after)
+	if !again && l.Reorder > 0 && w.chance.Float() < l.Reorder {
+		at += time.Duration(w.chance.Float() * float64(l.Late))
+	}
+	if at = max(at, after); l.Rate > 0 && bytes > 0 {
+		at += time.Duration(bytes) * time.Second / time.Duration(l.Rate)
+	}
 	var land func()
 	land = func() {
-		if now := w.link(from, to); now.Cut {
+		if now := w.link(by); now.Cut {
 			if again {
 				w.At(w.now+max(now.Resend, time.Millisecond), land)
 			}
@@ -221,18 +229,20 @@
 		arrive()
 	}
 	w.At(at, land)
+	if !again && l.Double > 0 && w.chance.Float() < l.Double {
+		w.At(at+time.Duration(w.chance.Float()*float64(max(l.Late, l.Delay))), land)
+	}
 	return at
 }
 
 // toPeer lets something arrive at the other end behind all that was sent before.
-func (s *socket) toPeer(arrive func(p *socket)) {
+func (s *socket) toPeer(bytes int, arrive func(p *socket)) {
 	p := s.peer
 	if p == nil {
 		return
 	}
-	w := s.host.world
 	turn := s.last
-	s.last = w.carry(s.host, p.host, turn, true, func() { arrive(p) })
+	s.last = s.host.world.carry(s.way, turn, true, bytes, func() { arrive(p) })
 	s.last = max(s.last, turn) + 1 // one behind the other
 }
 
@@ -278,18 +288,18 @@
 	}
 	s.underway += len(sent)
 	for rest := sent; len(rest) > 0; {
-		piece := rest[:h.world.piece(h, s, len(rest))]
+		piece := rest[:h.world.piece(s, len(rest))]
 		rest = rest[len(piece):]
-		s.toPeer(func(p *socket) { p.take(piece) })
+		s.toPeer(len(piece), func(p *socket) { p.take(piece) })
 	}
 	return len(sent), nil
 }
 
 // piece draws how much of a text goes at once.
-func (w *World) piece(h *Host, s *socket, most int) int {
+func (w *World) piece(s *socket, most int) int {
 	limit := most
 	if s.peer != nil {
-		if l := w.link(h, s.peer.host); l.Piece > 0 {
+		if l := w.link(s.way); l.Piece > 0 {
 			limit = min(limit, l.Piece)
 		}
 	}
@@ -303,7 +313,7 @@
 func (s *socket) take(text []byte) {
 	if s.closed {
 		if p := s.peer; p != nil && !p.closed {
-			s.toPeer(func(p *socket) { p.broken() })
+			s.toPeer(0, func(p *socket) { p.broken() })
 		}
 		return
 	}
@@ -322,10 +332,10 @@
 // reset tells the other end that this one is gone.
 func (s *socket) reset() {
 	for _, o := range s.waiting {
-		o.toPeer(func(p *socket) { p.broken() })
+		o.toPeer(0, func(p *socket) { p.broken() })
 	}
 	if s.kind == stream {
-		s.toPeer(func(p *socket) { p.broken() })
+		s.toPeer(0, func(p *socket) { p.broken() })
 	}
 }
 
@@ -351,13 +361,24 @@
 func (h *Host) Goodbye(fd int) {
 	if s := h.sockets[fd]; s != nil && !s.saidEnd {
 		s.saidEnd = true
-		s.toPeer(func(p *socket) {
+		s.toPeer(0, func(p *socket) {
 			p.ended = true
 			p.touch()
 		})
 	}
 }
 
+func (h *Host) End() {}
+
+// Abort ends a stream and lets the other side see that it was no planned end.
+func (h *Host) Abort(fd int) {
+	if s := h.sockets[fd]; s != nil {
+		s.reset()
+		s.saidEnd, s.in = true, nil
+		h.Close(fd)
+	}
+}
+
 // Close ends a socket; what was not read is answered with a reset, as the kernel does.
 func (h *Host) Close(fd int) {
 	s := h.sockets[fd]
@@ -387,12 +408,19 @@
 }
 
 func (h *Host) Send(fd int, to netip.AddrPort, text []byte) {
+	if s := h.sockets[fd]; s != nil {
+		for _, each := range h.world.crowds[to] {
+			if each != s.at {
+				h.Send(fd, each, text)
+			}
+		}
+	}
 	s, place := h.sockets[fd], h.world.places[to]
 	if s == nil || place == nil {
 		return
 	}
 	p := packet{s.at, append([]byte(nil), text...)}
-	h.world.carry(h, place.host, 0, false, func() {
+	h.world.carry(way{road: road{h, to}, from: h, to: place.host}, 0, false, len(text), func() {
 		if o := h.world.places[to]; o != nil && o.kind == datagrams && len(o.packets) < backlog {
 			o.packets = append(o.packets, p)
 			o.touch()
--- a/internal/loop/sim/world.go
+++ b/internal/loop/sim/world.go
@@ -20,6 +20,12 @@
 	Resend time.Duration // after which a stream sends again what was lost
 	Piece  int           // bytes that go at once at most; less is drawn
 	Cut    bool          // nothing arrives until it is mended
+
+	Double  float64       // part of the datagrams that arrive twice
+	Reorder float64       // part of the datagrams that others overtake
+	Late    time.Duration // by which those are overtaken at most
+	Rate    int           // bytes a second that a stream carries; 0: as many as come
+	Refuse  bool          // no connection is taken
 }
 
 // Plain is a link within one data centre.
@@ -33,12 +39,28 @@
 	hosts   []*Host
 	places  map[netip.AddrPort]*socket // who listens, or takes datagrams
 	links   map[[2]*Host]Link
+	roads   map[road][2]Link
+	crowds  map[netip.AddrPort][]netip.AddrPort
 	ordinal int
 }
 
+// road is the way between a host and one of the places that another host listens at.
+type road struct {
+	caller *Host
+	place  netip.AddrPort
+}
+
+// way is one direction of it.
+type way struct {
+	road
+	from, to *Host
+	back     bool
+}
+
 // New makes a world whose clock stands at start, counted as Unix time.
 func New(seed uint64, start time.Duration) *World {
-	return &World{now: start, chance: pcg.New(seed), places: make(map[netip.AddrPort]*socket), links: make(map[[2]*Host]Link)}
+	return &World{now: start, chance: pcg.New(seed), places: make(map[netip.AddrPort]*socket), links: make(map[[2]*Host]Link), roads: make(map[road][2]Link),
+		crowds: make(map[netip.AddrPort][]netip.AddrPort)}
 }
 
 // Now is the simulated time.
@@ -60,8 +82,36 @@
 // OneWay says how bytes go from one host to another.
 func (w *World) OneWay(from, to *Host, l Link) { w.links[[2]*Host{from, to}] = l }
 
-func (w *World) link(from, to *Host) Link {
-	if l, told := w.links[[2]*Host{from, to}]; told {
+// Bend says how bytes go between a host and a place that another listens at, there and back. It goes over what Join says.
+func (w *World) Bend(caller *Host, place netip.AddrPort, there, back Link) {
+	w.roads[road{caller, place}] = [2]Link{there, back}
+}
+
+// Crowd lets datagrams to an address go to each of some places but the sender's own.
+func (w *World) Crowd(at netip.AddrPort, places []netip.AddrPort) { w.crowds[at] = places }
+
+// Straighten takes back what Bend said.
+func (w *World) Straighten(caller *Host, place netip.AddrPort) { delete(w.roads, road{caller, place}) }
+
+// Break resets the streams between a host and a place.
+func (w *World) Break(caller *Host, place netip.AddrPort) {
+	for fd := 3; fd < caller.next; fd++ {
+		if s := caller.sockets[fd]; s != nil && s.kind == stream && s.way.road == (road{caller, place}) && !s.opening {
+			if p := s.peer; p != nil {
+				p.broken()
+			}
+			s.broken()
+		}
+	}
+}
+
+func (w *World) link(by way) Link {
+	if l, told := w.roads[by.road]; told && by.back {
+		return l[1]
+	} else if told {
+		return l[0]
+	}
+	if l, told := w.links[[2]*Host{by.from, by.to}]; told {
 		return l
 	}
 	return Plain
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -350,17 +350,25 @@
 // Close ends the stream at once; the owner is not told.
 func (s *Stream) Close() {
 	if !s.closed {
-		s.end()
+		s.end(s.loop.system.Close)
 		s.release()
 	}
 }
 
-func (s *Stream) end() {
+// Reset is Close that the other side sees as a reset, whatever it had yet to read.
+func (s *Stream) Reset() {
+	if !s.closed {
+		s.end(s.loop.system.Abort)
+		s.release()
+	}
+}
+
+func (s *Stream) end(how func(fd int)) {
 	s.closed = true
 	if s.from != nil {
 		s.from.open--
 	}
-	s.loop.drop(s.fd, s.handle)
+	s.loop.drop(s.fd, s.handle, how)
 	s.weighOut()
 }
 
@@ -369,7 +377,7 @@
 	if s.closed {
 		return
 	}
-	s.end()
+	s.end(s.loop.system.Close)
 	s.owner.Closed(cause)
 	s.release()
 }
@@ -496,13 +504,13 @@
 }
 
 // Close takes no connections any more, not even those that wait.
-func (n *Listener) Close() { n.loop.drop(n.fd, n.handle) }
+func (n *Listener) Close() { n.loop.drop(n.fd, n.handle, n.loop.system.Close) }
 
 // Drain takes the connections that wait and no more after them.
 func (n *Listener) Drain() {
 	for n.take() {
 	}
-	n.loop.drop(n.fd, n.handle)
+	n.loop.drop(n.fd, n.handle, n.loop.system.Close)
 }
 
 // Datagrams is a UDP socket.
@@ -542,6 +550,9 @@
 
 func (d *Datagrams) broken(error) {}
 
+// Close takes nothing any more.
+func (d *Datagrams) Close() { d.loop.drop(d.fd, d.handle, d.loop.system.Close) }
+
 // Send may lose the text.
 func (d *Datagrams) Send(to netip.AddrPort, text []byte) {
 	d.loop.system.Send(d.fd, to, text)
--- a/internal/loop/system.go
+++ b/internal/loop/system.go
@@ -48,6 +48,8 @@
 	Take(fd int, into []byte) (n int, from netip.AddrPort, err error)
 	Send(fd int, to netip.AddrPort, text []byte)
 	Close(fd int)
+	Abort(fd int) // Close that the other side sees as a reset
+	End()         // nothing is waited for any more
 }
 
 // kernel is the machine itself.
@@ -215,3 +217,13 @@
 }
 
 func (k *kernel) Close(fd int) { unix.Close(fd) }
+
+func (k *kernel) End() {
+	unix.Close(k.poll)
+	unix.Close(k.bell)
+}
+
+func (k *kernel) Abort(fd int) {
+	unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	unix.Close(fd)
+}
