Few connections to members come up at once, and a driver tells how far it has come back

At fault was Pool.CallOut: each call-out without an idle connection opened its own, and most were used once. Now comeback.Opens lets a window of them come up, which grows by quick ones and shrinks by slow ones, at one member no more than it has let in; call-outs wait for the next one that rests or comes up, before anything is written.

Return tells the stages listing, proving, warming and whole, by conditions and limits, in a log line and two counters; a driver that stood still begins anew and asks for the whole list.

--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"passtack/driver"
+	"passtack/internal/chain"
+	"passtack/internal/comeback"
 	"passtack/internal/loop"
 	"passtack/internal/slots"
 )
@@ -93,8 +95,9 @@
 	errSlow    = errors.New("no answer in time")
 	errConnect = errors.New("the connection did not come up in time")
 	errGarbage = errors.New("an answer that cannot be read")
-
 	errStalled = errors.New("an answer that stopped short")
+
+	errNotLetIn = errors.New("another connection to it did not come up")
 )
 
 // Most is the longest answer that is held.
@@ -111,14 +114,19 @@
 	connectIn time.Duration
 	idleFor   time.Duration // a member closes what was idle for so long
 	heard     Heard
+	opens     *comeback.Opens
+	crowded   chain.Chain[*member] // some call-outs wait for connections to these
 }
 
 type member struct {
-	id    driver.Member
-	at    netip.AddrPort
-	idle  []*conn       // newest last
-	tidy  loop.Due      // ends the oldest of them in time
-	quiet time.Duration // until when failures are not logged
+	id      driver.Member
+	at      netip.AddrPort
+	idle    []*conn       // newest last
+	tidy    loop.Due      // ends the oldest of them in time
+	quiet   time.Duration // until when failures are not logged
+	door    comeback.Door
+	waiting chain.Chain[*call]
+	crowd   chain.Link[*member]
 }
 
 // call is a call-out, or a probe where it has no statement.
@@ -133,6 +141,7 @@
 	conn   *conn
 	ask    *driver.Ask // waits for the connection
 	due    loop.Due
+	place  chain.Link[*call] // among those that wait for a connection
 }
 
 type conn struct {
@@ -141,7 +150,9 @@
 	member  *member
 	at      netip.AddrPort
 	stream  *loop.Stream
+	opened  time.Duration
 	ready   bool // the member has let us in
+	ended   bool
 	call    *call
 	written bool // the call-out was handed to the stream
 	since   time.Duration
@@ -151,11 +162,12 @@
 	how     driver.Outcome
 }
 
-// New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor.
-func New(l *loop.Loop, ledger driver.Ledger, tongue Tongue, connectIn, idleFor time.Duration) *Pool {
+// New makes a pool. Connections must be up within connectIn and are not used once idle for idleFor. All pools of a driver
+// share how many it opens at once.
+func New(l *loop.Loop, ledger driver.Ledger, tongue Tongue, opens *comeback.Opens, connectIn, idleFor time.Duration) *Pool {
 	return &Pool{
 		loop: l, ledger: ledger, tongue: tongue, members: make(map[driver.Member]*member), connectIn: connectIn,
-		idleFor: idleFor - idleFor/8,
+		idleFor: idleFor - idleFor/8, opens: opens,
 	}
 }
 
@@ -181,17 +193,66 @@
 		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
 		return uint32(c.handle)
 	}
-	c.due = p.loop.At(until, func() { p.expire(c.handle) })
+	p.dueAt(c, until)
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
 		k.write(ask)
 		return uint32(c.handle)
 	}
 	c.ask = ask.Copy()
-	p.connect(c, m)
+	if m.waiting.Count() == 0 && p.opens.May(&m.door) {
+		p.connect(c, m)
+	} else {
+		p.wait(c, m)
+	}
 	return uint32(c.handle)
 }
 
+// wait lets a call-out wait for a connection, no longer than one may take to come up.
+func (p *Pool) wait(c *call, m *member) {
+	p.ledger.Count("connects_waited")
+	c.place.Value, m.crowd.Value = c, m
+	m.waiting.Push(&c.place)
+	if !m.crowd.In(&p.crowded) {
+		p.crowded.Push(&m.crowd)
+	}
+	p.dueAt(c, min(c.until, p.loop.Now()+p.connectIn))
+}
+
+// dueAt ends the call-out then, unless it has ended.
+func (p *Pool) dueAt(c *call, at time.Duration) {
+	p.loop.Forget(c.due)
+	c.due = p.loop.At(at, func() { p.expire(c.handle) })
+}
+
+// serve gives connections to call-outs that wait: those that rest, and new ones as far as more may be opened.
+func (p *Pool) serve(m *member) {
+	for next := m.waiting.First(); next != nil; next = m.waiting.First() {
+		c, k := next.Value, p.newest(m)
+		if k == nil && !p.opens.May(&m.door) {
+			return
+		}
+		next.Leave()
+		p.dueAt(c, c.until)
+		if k == nil {
+			p.connect(c, m)
+			continue
+		}
+		k.call, c.conn = c, k
+		k.start()
+	}
+	m.crowd.Leave()
+}
+
+// serveAll does so for all members, once more may be opened.
+func (p *Pool) serveAll() {
+	for at := p.crowded.First(); at != nil; {
+		next := at.Next()
+		p.serve(at.Value)
+		at = next
+	}
+}
+
 // Probe asks the member nothing, to see how it is.
 func (p *Pool) Probe(to driver.Member) {
 	m, now := p.members[to], p.loop.Now()
@@ -204,7 +265,7 @@
 		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
 		return
 	}
-	c.due = p.loop.At(c.until, func() { p.expire(c.handle) })
+	p.dueAt(c, c.until)
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
 		k.probe()
@@ -234,7 +295,7 @@
 }
 
 func (p *Pool) connect(c *call, m *member) {
-	k := &conn{pool: p, member: m, at: m.at, call: c, since: p.loop.Now()}
+	k := &conn{pool: p, member: m, at: m.at, call: c, since: p.loop.Now(), opened: p.loop.Now()}
 	stream, err := p.loop.Dial(m.at, k, Most)
 	if err == nil {
 		k.stream = stream
@@ -249,6 +310,7 @@
 		return
 	}
 	c.conn = k
+	p.opens.Opening(&m.door)
 	p.ledger.Count("connects")
 	if hello := p.tongue.Hello(); hello != nil {
 		k.stream.Send(hello)
@@ -267,9 +329,12 @@
 }
 
 func (k *conn) welcomed() {
+	p, m := k.pool, k.member
 	k.ready = true
-	k.pool.loop.Forget(k.due)
+	p.opens.Up(&m.door, p.loop.Now()-k.opened, p.loop.Now())
+	p.loop.Forget(k.due)
 	k.start()
+	p.loop.Later(p.serveAll)
 }
 
 func (k *conn) Panicked(cause error) { k.broken(cause) }
@@ -286,11 +351,30 @@
 }
 
 func (k *conn) gone() {
-	k.pool.loop.Forget(k.due)
-	k.pool.conns.Drop(k.handle)
+	p, m := k.pool, k.member
+	if !k.ended && k.ready {
+		p.opens.Gone(&m.door)
+	} else if !k.ended {
+		p.opens.Failed(&m.door, p.loop.Now()-k.opened, p.loop.Now())
+		p.loop.Later(func() { p.notLetIn(m) })
+	}
+	k.ended = true
+	p.loop.Forget(k.due)
+	p.conns.Drop(k.handle)
 	k.member.idle = slices.DeleteFunc(k.member.idle, func(o *conn) bool { return o == k })
 }
 
+// notLetIn lets one connection that did not come up speak for all that wait, where the member has let nobody in.
+func (p *Pool) notLetIn(m *member) {
+	if m.door.Shut() {
+		for at := m.waiting.First(); at != nil; at = m.waiting.First() {
+			at.Leave()
+			p.fail(at.Value, Failure{NotConnected, false, errNotLetIn})
+		}
+	}
+	p.serveAll()
+}
+
 func (k *conn) Closed(cause error) {
 	k.gone()
 	c := k.call
@@ -358,6 +442,9 @@
 	if k.member.tidy == nil {
 		k.pool.tidyAt(k.member, k.since+k.pool.idleFor)
 	}
+	if m := k.member; m.waiting.Count() > 0 {
+		k.pool.loop.At(k.since+settled, func() { k.pool.serve(m) })
+	}
 }
 
 // tidyAt ends what will have been idle for too long then, and looks again for as long as something is idle.
@@ -459,6 +546,9 @@
 	if c == nil {
 		return
 	}
+	if c.place.Value != nil && c.conn == nil {
+		p.ledger.Count("connects_waited_out")
+	}
 	reached, failed, how := NotConnected, false, driver.Failed
 	if c.conn != nil {
 		reached, failed, how = c.conn.reached(), c.conn.failed, c.conn.how
@@ -473,6 +563,7 @@
 
 // letGo parts a call-out from its connection, which ends unless it has yet to come up.
 func (p *Pool) letGo(c *call) {
+	c.place.Leave()
 	k := c.conn
 	if k == nil || k.call != c {
 		return
@@ -525,6 +616,7 @@
 		p.CloseIdle(id)
 		m.at = netip.AddrPort{} // what is still out rests nowhere
 		delete(p.members, id)
+		m.crowd.Leave()
 	}
 }
 
@@ -557,6 +649,14 @@
 	return true
 }
 
+// Waiting counts the call-outs that wait for a connection.
+func (p *Pool) Waiting() (waiting int) {
+	for at := p.crowded.First(); at != nil; at = at.Next() {
+		waiting += at.Value.waiting.Count()
+	}
+	return waiting
+}
+
 // Open counts the connections, Out the call-outs that have no outcome yet.
 func (p *Pool) Open() int { return p.conns.Count() }
 func (p *Pool) Out() int  { return p.calls.Count() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"passtack/driver"
+	"passtack/internal/comeback"
 	"passtack/internal/list"
 	"passtack/internal/logs"
 	"passtack/internal/loop"
@@ -37,6 +38,7 @@
 	client   driver.Client
 	side     driver.Side // that speaks with the members of its group
 	until    time.Duration
+	group    driver.Group
 	calls    []uint32
 	out      int
 	answered bool
@@ -53,6 +55,8 @@
 	byFront map[driver.Front]*door
 	shares  share.Shares
 	pools   [driver.Forms]*member.Pool
+	opens   comeback.Opens
+	back    *comeback.Return
 	list    *list.Discovery
 	peers   *peers.Peers
 	rpcs    slots.Table[*rpc]
@@ -89,7 +93,7 @@
 		site:  site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
 		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
-		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door),
+		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door), opens: comeback.NewOpens(site.span("caps.connect_timeout", 250*time.Millisecond)),
 	}
 	load := member.Load{Columns: site.columns(), Word: terms.Word}
 	n.speak(driver.Statements, &pgmember.Tongue{Load: load})
@@ -109,6 +113,7 @@
 			return nil, fmt.Errorf("peer_listen %s: %w", site.PeerListen, err)
 		}
 	}
+	n.back = comeback.NewReturn(l.Now())
 	n.module = rules.New(n, site.Seed, site.Terms)
 	if n.fault != nil {
 		return nil, n.fault
@@ -124,12 +129,33 @@
 	if site.Terms["list"] == "pushed" {
 		n.list.Watch(true)
 	}
+	n.lookBack()
 	return n, nil
 }
 
+// Comeback tells how far the driver has come back since its start.
+func (n *Node) Comeback() comeback.Stage { return n.back.Stage() }
+
+// lookBack follows the driver's way back after its start, or after it stood still.
+func (n *Node) lookBack() {
+	now, waits := n.loop.Now(), 0
+	for _, p := range n.pools {
+		waits += p.Waiting()
+	}
+	if n.back.Look(now, waits) {
+		stage := n.back.Stage()
+		if stage == comeback.Listing { // what it knows is old
+			n.Count("halts")
+			n.list.Fetch()
+		}
+		slog.Info("comeback", "stage", stage, "after_ms", n.back.Age(now).Milliseconds())
+	}
+	n.loop.At(now+lookingBack, n.lookBack)
+}
+
 // speak opens the side for one protocol with members.
 func (n *Node) speak(form driver.Form, tongue member.Tongue) {
-	pool := member.New(n.loop, n, tongue, n.site.span("caps.connect_timeout", 250*time.Millisecond),
+	pool := member.New(n.loop, n, tongue, &n.opens, n.site.span("caps.connect_timeout", 250*time.Millisecond),
 		n.site.span("caps.idle_close", time.Hour))
 	n.pools[form] = pool
 }
@@ -151,7 +177,9 @@
 	repeated  = 5 * time.Second        // in which the same line of the module is logged once
 	mostTime  = 3 * time.Second        // SIGKILL leaves an RPC that came till then as much as that
 	look      = 20 * time.Millisecond  // between looks whether all is answered
-	buffers   = 4                      // a quarter of the memory may hold long messages
+
+	lookingBack = 50 * time.Millisecond // between looks how far a driver has come back
+	buffers     = 4                     // a quarter of the memory may hold long messages
 )
 
 // Run serves until it is told to stop and has answered all that it took.
@@ -293,7 +321,7 @@
 	line := []any{
 		"rpcs_held", n.rpcs.Count(), "clients_open", n.open(), "members_open", members, "descriptors", open,
 		"descriptors_most", most, "dues", n.loop.Dues(), "lines_lost", n.lines.Lost.Load(),
-		"lines_sampled", n.lines.Sampled.Load(),
+		"lines_sampled", n.lines.Sampled.Load(), "comeback", n.back.Stage(), "ready", fmt.Sprintf("%.2f", n.back.Ready()),
 	}
 	if len(n.doors) > 1 {
 		for _, d := range n.doors {
@@ -315,7 +343,8 @@
 		until = min(until, n.ending)
 	}
 	d := n.byFront[by]
-	q := &rpc{door: d, client: from, side: n.pools[n.FormOf(group)], until: until}
+	q := &rpc{door: d, client: from, side: n.pools[n.FormOf(group)], until: until, group: group}
+	n.back.Asked(uint16(group))
 	if !d.mayTake() {
 		n.Count("rpcs_over_share")
 		by.PushBack(from, 0)
@@ -356,6 +385,7 @@
 	n.loop.Forget(q.overdue)
 	q.door.rpcs--
 	n.Count("rpcs_" + how)
+	n.back.Answered(how == "pushed_back")
 	n.drop(id, q)
 	return q
 }
@@ -387,6 +417,9 @@
 	if q == nil {
 		return
 	}
+	if role == driver.Primary {
+		n.back.Proven(uint16(q.group))
+	}
 	if how == driver.OK {
 		if q := n.answered(id, "ok"); q != nil {
 			q.door.front.Answer(q.client, a)
@@ -426,6 +459,9 @@
 }
 
 func (n *Node) ListEnds(how driver.Listing) {
+	if how != driver.Cached && how != driver.NoList {
+		n.back.Listed()
+	}
 	n.module.ListEnds(how)
 }
 
