--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"passtack/internal/emu/play"
+	"passtack/internal/emu/rig"
 	"passtack/internal/logs"
 	"passtack/internal/node"
 	"passtack/internal/operator"
@@ -76,8 +77,12 @@
 	Scripts []string `arg:"" help:"What is played (HCL), as those under deploy/rehearsals." type:"existingfile"`
 	Seed    uint64   `help:"Of all chance; the same seed gives the same course." default:"1"`
 	Times   int      `help:"How many seeds are played, from that one on." default:"1"`
+	Scale   int      `help:"Times the script's drivers, groups, sessions and RPCs." default:"1"`
 	Log     bool     `help:"Show the drivers' log lines."`
 	Sockets bool     `help:"Play in real time on loopback addresses, with drivers as processes of their own."`
+	Older   string   `help:"An older build of the program, for the drivers that a script names as older." type:"existingfile" placeholder:"FILE"`
+	Table   bool     `help:"Print what clients, members and discovery saw in each second."`
+	Course  bool     `help:"Print what happened to drivers, members and discovery, in one time line."`
 }
 
 // play plays one script with one seed.
@@ -93,11 +98,7 @@
 	if c.Log {
 		log = os.Stderr
 	}
-	r, left, err := play.OnSockets(s, seed, itself, log)
-	if len(left) > 0 {
-		fmt.Printf("not_played=%s\n", strings.Join(left, ","))
-	}
-	return r, err
+	return rig.Play(s, seed, rig.Programs{Path: itself, Older: c.Older}, log)
 }
 
 func (c *rehearse) Run() error {
@@ -107,7 +108,7 @@
 	var scripts []*play.Script
 	var wrong []error
 	for _, name := range c.Scripts {
-		s, err := play.ReadScript(name)
+		s, err := play.ReadScaled(name, max(c.Scale, 1))
 		scripts, wrong = append(scripts, s), append(wrong, err)
 	}
 	if err := errors.Join(wrong...); err != nil {
@@ -120,6 +121,12 @@
 			if err != nil {
 				return err
 			}
+			if c.Course {
+				r.Course.Print(os.Stdout)
+			}
+			if c.Table {
+				r.Table(os.Stdout)
+			}
 			if r.Print(os.Stdout); !r.Met() {
 				missed++
 			}
--- a/internal/emu/group.go
+++ b/internal/emu/group.go
@@ -33,6 +33,8 @@
 	swept    time.Duration
 	term     int // counts primaries
 	giving   bool
+
+	Changed func(primary *Member) // told of each new primary, and by nil that there is none; may be nil
 }
 
 // kept is how long the log reaches back: replicas further behind than that get the rest at once.
@@ -110,6 +112,13 @@
 	return m.applied
 }
 
+func (g *Group) follow(m *Member) {
+	g.primary = m
+	if g.Changed != nil {
+		g.Changed(m)
+	}
+}
+
 // lost hears that a member died.
 func (g *Group) lost(m *Member) {
 	if g.primary == m {
@@ -144,7 +153,7 @@
 			}
 		}
 		if g.primary == old {
-			g.primary = nil
+			g.follow(nil)
 		}
 		until := g.timer.Now()
 		g.timer.At(until+g.draw(g.Election.Takeover), func() { g.elect(old, until, false) })
@@ -165,7 +174,8 @@
 	}
 	g.giving = false
 	g.term++
-	best.role, g.primary = driver.Primary, best
+	best.role = driver.Primary
+	g.follow(best)
 	if best != old && old.up && old.role == driver.Primary {
 		life := old.life
 		g.timer.At(max(g.timer.Now(), old.paused)+g.Election.Contest, func() {
@@ -190,7 +200,7 @@
 		}
 		m.yield(g.timer.Now())
 		if g.primary == m {
-			g.primary = nil
+			g.follow(nil)
 		}
 		g.elect(m, g.timer.Now(), false)
 	})
--- a/internal/emu/member.go
+++ b/internal/emu/member.go
@@ -30,8 +30,11 @@
 	Delay    time.Duration // of the log on its way to a replica
 	Apply    time.Duration // of one commit by the one thread that applies
 	Window   time.Duration // in which its group drops repeats
-	Blind    bool          // it answers reads from what it has, however old
-	Lies     bool          // it tells a position that it has not reached
+
+	Handshake   time.Duration // work of a new connection
+	Connections int           // that it holds at most, 0: as many as come
+	Blind       bool          // it answers reads from what it has, however old
+	Lies        bool          // it tells a position that it has not reached
 }
 
 // Job is one call-out as a member gets it.
@@ -42,6 +45,7 @@
 	Session bool          // must see what was committed up to After
 	After   time.Duration // position, 0: any
 	Work    time.Duration // on a core of an idle, warm member
+	Hello   bool          // it opens a connection and asks for nothing
 	Done    func(Result)  // called once, unless the member dies; never at once
 
 	place chain.Link[*Job]
@@ -135,7 +139,7 @@
 		m.say(j, driver.Full, false)
 	case j.Write && m.role != driver.Primary:
 		m.say(j, driver.Miss, false)
-	case !j.Write && !m.Build.Blind && j.After > m.Position():
+	case !j.Write && !j.Hello && !m.Build.Blind && j.After > m.Position():
 		m.wait(j, m.timer.Now()+m.Build.Patience)
 	default:
 		m.queue(j)
@@ -149,12 +153,25 @@
 	m.sent = m.sent*math.Exp(-float64(now-m.sentAt)/float64(m.Build.Tips)) + j.Work.Seconds()
 	m.sentAt = now
 	cold := m.started != driver.LongAgo && now-m.started < m.Build.Warm
-	if room := m.Build.Multiple * m.Capacity() * float64(m.Build.Cores) * m.Build.Tips.Seconds(); cold && m.sent > room {
+	if cold && m.sent > m.room() {
 		m.tipped = true
 		m.Die()
 	}
 }
 
+// room is the work that it bears within Tips while it is cold.
+func (m *Member) room() float64 {
+	return m.Build.Multiple * m.Capacity() * float64(m.Build.Cores) * m.Build.Tips.Seconds()
+}
+
+// ColdPart is how much of what it bears it was sent lately, 0 once it is warm.
+func (m *Member) ColdPart() float64 {
+	if now := m.timer.Now(); m.up && m.started != driver.LongAgo && now-m.started < m.Build.Warm {
+		return m.sent / m.room()
+	}
+	return 0
+}
+
 // wait holds a read until the log has come as far as it needs.
 func (m *Member) wait(j *Job, until time.Duration) {
 	life := m.life
--- a/internal/emu/play/clients.go
+++ b/internal/emu/play/clients.go
@@ -30,11 +30,16 @@
 	Worth    float64
 	Took     []time.Duration // of RPCs that were ok, from the first try on
 	Got      float64         // utility answered within the soft deadline, and what late answers bring
+	Flow     Flow
+	ledger   *emu.Ledger
+	home     []int  // the driver of each session
+	up       []bool // whom clients are dealt to, as far as who deals them out knows
 }
 
 // wish is one RPC over all its tries.
 type wish struct {
 	method  *Method
+	home    int // the driver that it went to first
 	session int
 	token   string
 	began   time.Duration
@@ -61,9 +66,16 @@
 }
 
 // NewClients lets clients ask from now on.
-func NewClients(l *loop.Loop, s *Script, r *emu.Record, seed uint64, drivers []netip.AddrPort) *Clients {
+func NewClients(l *loop.Loop, s *Script, r *emu.Record, ledger *emu.Ledger, seed uint64, drivers []netip.AddrPort) *Clients {
 	c := &Clients{loop: l, script: s, record: r, chance: pcg.New(seed), drivers: drivers, idle: make([][]*line, len(drivers)),
-		sessions: make([]time.Duration, s.Sessions), from: l.Now(), due: l.Now()}
+		sessions: make([]time.Duration, s.Sessions), from: l.Now(), due: l.Now(), ledger: ledger, Flow: newFlow(len(drivers)),
+		home: make([]int, s.Sessions), up: make([]bool, len(drivers))}
+	for n := range c.home {
+		c.home[n] = n % len(drivers)
+	}
+	for n := range c.up {
+		c.up[n] = true
+	}
 	for _, m := range s.Methods {
 		c.total += m.Share
 	}
@@ -95,14 +107,88 @@
 	}
 	c.Asked++
 	c.Worth += w.method.Utility
+	w.home = c.driverOf(w.session)
+	c.Flow.asked(w.began-c.from, w.home, w.method.Utility)
+	c.ledger.Add(emu.Worth, Driver(w.home), w.began, w.method.Utility)
 	c.ask(w)
 	c.due -= time.Duration(logOf(1-c.chance.Float()) / c.rate() * float64(time.Second))
 	c.loop.At(c.due, c.arrive) // a loop that wakes late catches up
 }
 
+// driverOf tells where a session's RPCs go now: to its own driver, or while that is known to be dead to the next.
+func (c *Clients) driverOf(session int) int {
+	home := c.home[session]
+	for n := range c.up {
+		if at := (home + n) % len(c.up); c.up[at] {
+			return at
+		}
+	}
+	return home
+}
+
+// Died tells who deals clients out that a driver has died; they notice later. Then they ask whether it is back.
+func (c *Clients) Died(n int) {
+	if c.script.Route != "spread" {
+		return
+	}
+	c.loop.At(c.loop.Now()+c.script.Notice, func() {
+		c.up[n] = false
+		c.knock(n)
+	})
+}
+
+// knocking is how often who deals clients out asks a driver that was dead whether it is back.
+const knocking = 100 * time.Millisecond
+
+// knock asks a driver an empty query, which it answers once it serves.
+func (c *Clients) knock(n int) {
+	k := &knock{clients: c, driver: n}
+	var err error
+	if k.stream, err = c.loop.Dial(c.drivers[n], k, pgwire.Most+1); err != nil {
+		c.loop.At(c.loop.Now()+knocking, func() { c.knock(n) })
+		return
+	}
+	k.stream.Send(pgwire.AppendFirst(nil, "app", "shop"), append(pgwire.AppendHead(nil, 'Q', 1), 0))
+	k.due = c.loop.At(c.loop.Now()+10*knocking, func() {
+		k.stream.Close()
+		k.Closed(nil)
+	})
+}
+
+// knock is a connection on which a driver is asked whether it is back.
+type knock struct {
+	clients *Clients
+	driver  int
+	stream  *loop.Stream
+	due     loop.Due
+}
+
+func (k *knock) Opened()              {}
+func (k *knock) Panicked(cause error) { k.stream.Close() }
+
+func (k *knock) Closed(error) {
+	c := k.clients
+	c.loop.Forget(k.due)
+	c.loop.At(c.loop.Now()+knocking, func() { c.knock(k.driver) })
+}
+
+func (k *knock) Input(in []byte) int {
+	kind, _, size, err := pgwire.Next(in)
+	if err != nil || kind == 'I' && size > 0 {
+		k.stream.Close()
+		if k.clients.loop.Forget(k.due); err != nil {
+			k.Closed(err)
+		} else {
+			k.clients.up[k.driver] = true
+		}
+		return 0
+	}
+	return size
+}
+
 // ask sends a try to the driver of its session.
 func (c *Clients) ask(w *wish) {
-	to := w.session % len(c.drivers)
+	to := c.driverOf(w.session)
 	var l *line
 	for n := len(c.idle[to]); n > 0 && l == nil; n = len(c.idle[to]) {
 		l = c.idle[to][n-1]
@@ -203,13 +289,24 @@
 		if w.method.Need == "write" && l.commit > 0 {
 			c.sessions[w.session] = max(c.sessions[w.session], l.commit)
 		}
-		if now-w.began <= w.method.Soft {
-			c.Got += w.method.Utility
-		} else {
-			c.Got += w.method.Utility * w.method.Late
+		got := w.method.Utility
+		if now-w.began > w.method.Soft {
+			got *= w.method.Late
 		}
+		c.Got += got
+		c.Flow.got(w.began-c.from, w.home, got)
+		c.ledger.Add(emu.Got, Driver(w.home), w.began, got)
 		return
 	}
+	switch answer {
+	case emu.PushedBack:
+		c.ledger.Add(emu.PushedOff, Driver(l.to), now, 1)
+	case emu.Nothing, emu.NotTaken:
+		c.ledger.Add(emu.Lost, Driver(l.to), now, 1)
+		if c.script.Route == "stay" && c.home[w.session] == l.to { // it looks for another driver, and stays there
+			c.home[w.session] = (l.to + 1 + c.chance.Below(max(len(c.drivers)-1, 1))) % len(c.drivers)
+		}
+	}
 	if w.tries > c.script.Retries || w.method.Effect == emu.NonIdempotent && (answer == emu.Aborted || answer == emu.Nothing) {
 		return
 	}
--- a/internal/emu/play/cluster.go
+++ b/internal/emu/play/cluster.go
@@ -34,13 +34,20 @@
 	members []*served
 	agents  []*agent
 	rev     int
-	down    time.Duration // until when discovery says nothing
+	old     time.Duration // until when discovery hears of no change
 	fault   error
+	ledger  *emu.Ledger
+	began   time.Duration
+	Course  Course
+
+	// Address tells where a driver reaches a member; nil: where it listens.
+	Address func(driver, member int) netip.AddrPort
 }
 
 // served is one member behind its address.
 type served struct {
 	cluster  *Cluster
+	number   int
 	model    *emu.Member
 	group    int
 	at       netip.AddrPort
@@ -55,11 +62,11 @@
 
 // NewCluster listens for all members of the script's groups, and for discovery at the agents' addresses.
 func NewCluster(l *loop.Loop, s *Script, r *emu.Record, seed uint64, place func(n int) netip.AddrPort, agents []netip.AddrPort) (*Cluster, error) {
-	c := &Cluster{loop: l, script: s, record: r, chance: pcg.New(seed), rev: 1}
+	c := &Cluster{loop: l, script: s, record: r, chance: pcg.New(seed), rev: 1, ledger: emu.NewLedger(l.Now()), began: l.Now()}
 	for g := range s.Groups {
 		var models []*emu.Member
 		for range s.Members {
-			m := &served{cluster: c, group: g, at: place(len(c.members)), state: "in_service", denied: make(map[string]bool)}
+			m := &served{cluster: c, number: len(c.members), group: g, at: place(len(c.members)), state: "in_service", denied: make(map[string]bool)}
 			m.model = emu.NewMember(fmt.Sprint("m", len(c.members)), s.Build, timer{l}, c.chance)
 			models = append(models, m.model)
 			c.members = append(c.members, m)
@@ -67,10 +74,18 @@
 				return nil, err
 			}
 		}
-		c.groups = append(c.groups, emu.NewGroup(driver.Group(g), s.Election, timer{l}, c.chance, models...))
+		group := emu.NewGroup(driver.Group(g), s.Election, timer{l}, c.chance, models...)
+		group.Changed = func(primary *emu.Member) {
+			if primary == nil {
+				c.note(fmt.Sprint("group ", g), "has no primary")
+			} else {
+				c.note(primary.Name, "is primary of group %d", g)
+			}
+		}
+		c.groups = append(c.groups, group)
 	}
 	for i, at := range agents {
-		a := &agent{cluster: c, driver: fmt.Sprint("d", i)}
+		a := &agent{cluster: c, number: i, driver: Driver(i)}
 		if _, err := l.Listen(at, 1<<16, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
 			w := &watcher{agent: a}
 			w.stream = open(w)
@@ -85,14 +100,50 @@
 func (m *served) listen() (err error) {
 	m.listener, err = m.cluster.loop.Listen(m.at, pgwire.Most+1, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
 		k := &conn{member: m}
-		if k.stream = open(k); k.stream != nil {
-			k.place.Value = k
-			m.conns.Push(&k.place)
+		if k.stream = open(k); k.stream == nil {
+			return
+		}
+		if most := m.model.Build.Connections; most > 0 && m.conns.Count() >= most {
+			m.count(emu.TurnedAway, 1)
+			k.stream.Send(pgwire.AppendError(nil, true, "53300", "too many connections", -1))
+			k.stream.CloseWhenSent()
+			return
 		}
+		k.place.Value = k
+		m.conns.Push(&k.place)
+		m.count(emu.Connects, 1)
+		m.cluster.ledger.Most(emu.OpenMost, m.model.Name, m.cluster.loop.Now(), float64(m.conns.Count()))
 	}, func(bool) {})
 	return err
 }
 
+// Begin lets the script's time begin now.
+func (c *Cluster) Begin() {
+	c.began, c.ledger = c.loop.Now(), emu.NewLedger(c.loop.Now())
+}
+
+func (c *Cluster) note(who, format string, args ...any) {
+	c.Course.Note(c.loop.Now()-c.began, who, format, args...)
+}
+
+// count adds to what the ledger has of the member.
+func (m *served) count(what string, n float64) {
+	m.cluster.ledger.Add(what, m.model.Name, m.cluster.loop.Now(), n)
+}
+
+// take hands work to the model; a member that falls over takes none.
+func (m *served) take(j *emu.Job) {
+	if !m.model.Take(j) {
+		if m.model.Tipped() {
+			m.cluster.record.Tipped(m.model.Name)
+			m.cluster.note(m.model.Name, "falls over: it was sent too much while cold")
+		}
+		m.die()
+		return
+	}
+	m.cluster.ledger.Most(emu.ColdPart, m.model.Name, m.cluster.loop.Now(), m.model.ColdPart())
+}
+
 // die ends the member's process; Tipped is noted by the caller's look at the model.
 func (m *served) die() {
 	if m.listener != nil {
@@ -122,9 +173,14 @@
 
 // list changes what discovery says of a member; it becomes known after the script's delay.
 func (c *Cluster) list(m *served, state string) {
-	c.loop.At(c.loop.Now()+c.script.ListDelay, func() {
+	c.loop.At(max(c.loop.Now()+c.script.ListDelay, c.old), func() {
+		if c.loop.Now() < c.old {
+			c.list(m, state)
+			return
+		}
 		c.rev++
 		m.state, m.listed = state, c.rev
+		c.note("discovery", "lists %s as %s, revision %d", m.model.Name, state, c.rev)
 		for _, a := range c.agents {
 			a.tell()
 		}
@@ -164,8 +220,7 @@
 			return 0
 		}
 		if size > 0 {
-			k.welcome = true
-			k.stream.Send(pgwire.AppendWelcome(nil, 1))
+			k.greet()
 		}
 		return size
 	}
@@ -183,9 +238,46 @@
 	return size
 }
 
+// greet lets a connection in, once the member has done the work for it.
+func (k *conn) greet() {
+	m := k.member
+	k.welcome = true
+	m.count(emu.Handshakes, 1)
+	if m.model.Build.Handshake == 0 {
+		k.stream.Send(pgwire.AppendWelcome(nil, 1))
+		return
+	}
+	k.job = &emu.Job{Hello: true, Work: m.model.Build.Handshake, Done: func(r emu.Result) {
+		k.job = nil
+		if r.How != driver.OK {
+			k.stream.Send(pgwire.AppendError(nil, true, "53300", "no room", -1))
+			k.stream.CloseWhenSent()
+			return
+		}
+		k.stream.Send(pgwire.AppendWelcome(nil, 1))
+		m.cluster.loop.Later(k.stream.Look)
+	}}
+	m.take(k.job)
+}
+
+// told is what a member says of itself beside every answer.
+func (k *conn) told(out []byte, role driver.Role, position time.Duration, load float64) []byte {
+	name := map[driver.Role]string{driver.Primary: "leader", driver.Replica: "follower"}[role]
+	leads := map[driver.Role]int{driver.Primary: 1}[role]
+	out = pgwire.AppendParameter(out, "node_role", name)
+	out = pgwire.AppendParameter(out, "replay_position", strconv.FormatInt(int64(position/time.Millisecond), 10))
+	return pgwire.AppendParameter(out, "server_load", fmt.Sprintf("x0=%.3f,x1=%d,util=%.2f", position.Seconds(), leads, load))
+}
+
 func (k *conn) asked(text string) {
 	m := k.member
 	c := m.cluster
+	if text == "" {
+		m.count(emu.Probes, 1)
+		out := k.told(pgwire.AppendHead(nil, 'I', 0), m.model.Role(), m.model.Position(), m.model.Load())
+		k.stream.Send(pgwire.AppendReady(out))
+		return
+	}
 	values := make(map[string]string)
 	_, ok := pgwire.Comment([]byte(text), func(name, value []byte, _, _ int) { values[string(name)] = string(value) })
 	method := c.script.method(values["c"])
@@ -203,6 +295,15 @@
 		job.After = now - method.Bound
 	}
 	c.record.Arrived(id, m.model.Name, now)
+	m.count(emu.CallOuts, 1)
+	switch isPrimary := m.model.Role() == driver.Primary; {
+	case m.model.Drains():
+		m.count(emu.Drained, 1)
+	case job.Write && !isPrimary && m.led:
+		m.count(emu.Stale, 1)
+	case job.Write && !isPrimary:
+		m.count(emu.Scouts, 1)
+	}
 	if m.model.Role() == driver.Primary {
 		m.led = true
 		clear(m.denied)
@@ -210,12 +311,7 @@
 	excused := m.led && !m.denied[c.record.DriverOf(id)] // the driver may still take it for the primary
 	job.Done = func(r emu.Result) { k.answer(id, job, r, excused) }
 	k.job = job
-	if !m.model.Take(job) {
-		if m.model.Tipped() {
-			c.record.Tipped(m.model.Name)
-		}
-		m.die()
-	}
+	m.take(job)
 }
 
 func (k *conn) answer(id string, job *emu.Job, r emu.Result, excused bool) {
@@ -238,16 +334,16 @@
 	if code := map[driver.Outcome]string{driver.Miss: "72000", driver.Full: "53300", driver.Failed: "XX000"}[r.How]; code != "" {
 		if job.Write && r.How == driver.Miss {
 			code = "25006"
+		} else if r.How == driver.Miss {
+			k.member.count(emu.Behind, 1)
+		} else if r.How == driver.Full {
+			k.member.count(emu.Fulls, 1)
 		}
 		out = pgwire.AppendError(nil, false, code, "no", -1)
 	} else {
 		out = row("value of " + id)
 	}
-	role := map[driver.Role]string{driver.Primary: "leader", driver.Replica: "follower"}[r.Role]
-	leads := map[driver.Role]int{driver.Primary: 1}[r.Role]
-	out = pgwire.AppendParameter(out, "node_role", role)
-	out = pgwire.AppendParameter(out, "replay_position", strconv.FormatInt(int64(r.Position/time.Millisecond), 10))
-	out = pgwire.AppendParameter(out, "server_load", fmt.Sprintf("x0=%.3f,x1=%d,util=%.2f", r.Position.Seconds(), leads, r.Load))
+	out = k.told(out, r.Role, r.Position, r.Load)
 	k.stream.Send(pgwire.AppendReady(out))
 	c.loop.Later(k.stream.Look)
 }
@@ -264,8 +360,11 @@
 // agent is discovery as one driver sees it.
 type agent struct {
 	cluster *Cluster
+	number  int
 	driver  string
 	waiting []*watcher
+	down    time.Duration // until when it says nothing
+	known   []byte        // the list as it has told it
 }
 
 type watcher struct {
@@ -296,7 +395,10 @@
 		w.stream.Close()
 		return 0
 	}
-	if r.Size == 0 || c.loop.Now() < c.down {
+	if r.Size > 0 {
+		c.ledger.Add(emu.Lists, w.agent.driver, c.loop.Now(), 1)
+	}
+	if r.Size == 0 || c.loop.Now() < w.agent.down {
 		return r.Size
 	}
 	_, query, watches := strings.Cut(string(r.Target), "?")
@@ -320,7 +422,7 @@
 
 // tell answers all who wait for a change.
 func (a *agent) tell() {
-	if a.cluster.loop.Now() < a.cluster.down {
+	if a.cluster.loop.Now() < a.down {
 		return
 	}
 	waiting := a.waiting
@@ -333,7 +435,8 @@
 
 func (w *watcher) answer(from int) {
 	c := w.agent.cluster
-	body := c.List(from)
+	body := c.List(w.agent.number, from)
+	w.agent.known = c.List(w.agent.number, 0)
 	for _, m := range c.members {
 		if m.listed > from && m.state != "in_service" {
 			c.record.Told(w.agent.driver, m.model.Name, c.loop.Now())
@@ -346,8 +449,22 @@
 	w.stream.Send(append(httpwire.AppendLength(out, len(body)), body...))
 }
 
-// List is what discovery says: the whole list from 0, else what has changed since.
-func (c *Cluster) List(from int) []byte {
+// Fault is what has broken the play itself, nil while nothing has.
+func (c *Cluster) Fault() error { return c.fault }
+
+// Ledger has what members and discovery saw by second.
+func (c *Cluster) Ledger() *emu.Ledger { return c.ledger }
+
+// Known is the list as a driver last had it.
+func (c *Cluster) Known(driver int) []byte {
+	if a := c.agents[driver]; a.known != nil {
+		return a.known
+	}
+	return c.List(driver, 0)
+}
+
+// List is what discovery says to a driver: the whole list from 0, else what has changed since.
+func (c *Cluster) List(driver, from int) []byte {
 	type target struct {
 		UID      string  `json:"uid"`
 		Endpoint string  `json:"endpoint"`
@@ -360,7 +477,11 @@
 	targets := []target{}
 	for _, m := range c.members {
 		if from == 0 || m.listed > from {
-			targets = append(targets, target{m.model.Name, m.at.String(), "a", m.group, m.state, 1, int64(m.bootedAt / time.Millisecond)})
+			at := m.at
+			if c.Address != nil {
+				at = c.Address(driver, m.number)
+			}
+			targets = append(targets, target{m.model.Name, at.String(), "a", m.group, m.state, 1, int64(m.bootedAt / time.Millisecond)})
 		}
 	}
 	body, _ := json.Marshal(map[string]any{"rev": c.rev, "all": from == 0, "targets": targets})
--- a/internal/emu/play/emulate.go
+++ b/internal/emu/play/emulate.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(site, s.SiteJSON("d0", listen, places[0], seed, c.List(0)), 0o644); err != nil {
+	if err := os.WriteFile(site, s.SiteJSON(Told{Name: "d0", Listen: listen, Discovery: places[0], Seed: seed, Known: c.List(0, 0)}), 0o644); err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "discovery=%s site=%s\n", places[0], site)
@@ -38,7 +38,7 @@
 	for _, t := range s.Troubles {
 		l.At(l.Now()+t.At, func() {
 			fmt.Fprintf(out, "trouble=%s on=%v lasts=%v\n", t.Kind, t.On, t.Lasts)
-			c.trouble(t, l.Now()+t.Lasts)
+			c.Trouble(t, l.Now()+t.Lasts)
 		})
 	}
 	signals := make(chan os.Signal, 1)
--- a/internal/emu/play/play_test.go
+++ b/internal/emu/play/play_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"passtack/internal/emu"
 )
 
 func quiet() { slog.SetDefault(slog.New(slog.DiscardHandler)) }
@@ -99,6 +101,16 @@
 		{`at = "1s"`, `at = "9s"`, `x.hcl:17: trouble 1 at: 9s is after the end`},
 		{`drivers = 1`, `driver = 1`, `x.hcl:3:3: Unsupported argument`},
 		{`share = 1`, ``, `Missing required argument`},
+		{`on = [0]`, `part = 1.5`, `x.hcl:18: trouble 1 part: 1.5 is not from 0 to 1`},
+		{`on = [0]`, `rate = 5`, `x.hcl:18: trouble 1 rate: kill has no use for it`},
+		{`on = [0]`, `from = ["drivers"]`, `kill has no use for from and to`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"\n  from = [\"d0\"]\n  to = [\"m0..3\"]", `trouble 1 to: "m0..3" names places that there are not: the last is m2`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"\n  from = [\"d0\"]\n  to = [\"people\"]", `"people" is none of d0, d0..5`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"", `on is missing, or from and to`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"thin\" {\n  at = \"1s\"\n  on = [0]", `rate is missing or too small`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"partition\" {\n  at = \"1s\"\n  islands = [[\"d0\"]]", `islands is missing or too small`},
+		{`members = 3`, "members = 3\n  older = [4]", `fleet older: there is no driver 4`},
+		{`rate = 10`, "rate = 10\n  route = \"away\"", `load route: "away" is none of fixed, stay and spread`},
 	} {
 		_, err := ParseScript([]byte(strings.Replace(good, c.old, c.new, 1)), "x.hcl")
 		if err == nil || !strings.Contains(err.Error(), c.want) {
@@ -109,3 +121,147 @@
 		t.Errorf("two mistakes: %v", err)
 	}
 }
+
+const fourDrivers = `lasts = "5s"
+fleet {
+  drivers = 4
+  members = 3
+}
+load {
+  rate = 200
+  retries = 2
+  method "look" {
+    need = "any"
+    work = "2ms..4ms"
+    soft = "1s"
+    limit = "1500ms"
+    share = 1
+  }
+}
+`
+
+// What a script says of links holds between the places that it names, in the direction and at the times that it says.
+func TestConditionsOfLinks(t *testing.T) {
+	s, err := ParseScript([]byte(fourDrivers+`
+trouble "cut" {
+  at    = "1s"
+  lasts = "1s"
+  every = "200ms"
+  from  = ["d0..1"]
+  to    = ["m0", "discovery"]
+}
+trouble "delay" {
+  at      = "1500ms"
+  from    = ["d1"]
+  to      = ["d2"]
+  one_way = true
+  by      = "30ms"
+}
+trouble "partition" {
+  at      = "3s"
+  islands = [["d0..1", "m0"], ["d2", "m1", "d3"], ["d3", "m2"]]
+}
+`), "x.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		at       time.Duration
+		from, to string
+		want     Condition
+	}{
+		{900 * time.Millisecond, "d0", "m0", Condition{}},
+		{1100 * time.Millisecond, "d0", "m0", Condition{Cut: true}},
+		{1100 * time.Millisecond, "m0", "d0", Condition{Cut: true}},
+		{1100 * time.Millisecond, "discovery", "d1", Condition{Cut: true}},
+		{1100 * time.Millisecond, "d2", "m0", Condition{}},
+		{1300 * time.Millisecond, "d0", "m0", Condition{}},
+		{1600 * time.Millisecond, "d1", "d2", Condition{Delay: 30 * time.Millisecond}},
+		{1600 * time.Millisecond, "d2", "d1", Condition{}},
+		{3500 * time.Millisecond, "d0", "d1", Condition{}},
+		{3500 * time.Millisecond, "d0", "m1", Condition{Cut: true}},
+		{3500 * time.Millisecond, "d3", "m2", Condition{}},
+		{3500 * time.Millisecond, "d3", "d2", Condition{}},
+		{3500 * time.Millisecond, "d0", "discovery", Condition{}},
+		{4000 * time.Millisecond, "d0", "m1", Condition{}},
+	} {
+		if got := s.Between(c.at, c.from, c.to); got != c.want {
+			t.Errorf("at %v from %s to %s: %+v", c.at, c.from, c.to, got)
+		}
+	}
+	if edges := s.Edges(); len(edges) != 10 || edges[0] != time.Second || edges[len(edges)-1] != 4*time.Second {
+		t.Errorf("edges %v", edges)
+	}
+	if roads := s.Roads(); len(roads) != 4*(1+1+3+3) {
+		t.Errorf("%d roads", len(roads))
+	}
+}
+
+// Whole drivers in simulated time feel what is said of their links, and nobody else does.
+func TestLinksInSimulatedTime(t *testing.T) {
+	quiet()
+	for name, c := range map[string]struct {
+		more string
+		fits func(r *Result) bool
+	}{
+		"cut off":  {`on = [1]`, func(r *Result) bool { return r.Answers["pushed back"] > 10 }},
+		"refused":  {"from = [\"clients\"]\n  to = [\"d2\"]", func(r *Result) bool { return r.Flow.Part(0, 0, 5*time.Second) == 1 }},
+		"late":     {"from = [\"clients\"]\n  to = [\"d0\"]\n  by = \"300ms\"", func(r *Result) bool { return r.Latency(95) > 500 && r.Latency(30) < 100 }},
+		"no list":  {"from = [\"drivers\"]\n  to = [\"discovery\"]", func(r *Result) bool { return r.Utility > 0.99 }},
+		"thin":     {"from = [\"clients\"]\n  to = [\"d0\"]\n  rate = 400", func(r *Result) bool { return r.Latency(95) > 300 }},
+		"resets":   {"from = [\"drivers\"]\n  to = [\"members\"]", func(r *Result) bool { return r.Ledger.Sum("connects", 1, 3) > 5 }},
+		"flapping": {"on = [1]\n  every = \"100ms\"", func(r *Result) bool { return r.Utility > 0.9 && r.Utility < 1 }},
+	} {
+		kind := map[string]string{"cut off": "cut", "refused": "refuse", "late": "delay", "no list": "cut", "thin": "thin", "resets": "reset", "flapping": "cut"}[name]
+		s, err := ParseScript([]byte(fourDrivers+"trouble \""+kind+"\" {\n  at = \"1s\"\n  lasts = \"2s\"\n  "+c.more+"\n}\n"), "x.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := Rehearse(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(r.Broken) > 0 || !c.fits(r) {
+			var out strings.Builder
+			r.Print(&out)
+			r.Table(&out)
+			t.Errorf("%s: %s", name, out.String())
+		}
+	}
+}
+
+// The measures of a return: when service was whole, what was lost, and the busiest seconds before and after.
+func TestReturns(t *testing.T) {
+	r := Result{Script: &Script{Lasts: 12 * time.Second}, Ledger: emu.NewLedger(0), Flow: newFlow(2)}
+	for at := time.Duration(0); at < 12*time.Second; at += piece {
+		part := 1.0
+		if at >= 4*time.Second && at < 5500*time.Millisecond {
+			part = 0.2
+		}
+		for d := range 2 {
+			r.Flow.asked(at, d, 10)
+			r.Flow.got(at, d, 10*part)
+		}
+		r.Ledger.Add(emu.Connects, "m0", at, 1)
+		if at >= 5*time.Second && at < 6*time.Second {
+			r.Ledger.Add(emu.Connects, "m1", at, 5)
+		}
+	}
+	var falls Falls
+	falls.Gone(0, 4*time.Second)
+	falls.Gone(1, 4100*time.Millisecond)
+	falls.Back(0, 4800*time.Millisecond)
+	falls.Back(1, 5*time.Second)
+	falls.Back(1, 9*time.Second)
+	r.Falls = falls.all
+	back := r.Returns()
+	if len(back) != 1 || back[0].Up != 5*time.Second || back[0].Whole != 500*time.Millisecond || len(back[0].Drivers) != 2 || back[0].Level != 1 {
+		t.Fatalf("%+v", back)
+	}
+	if lost := back[0].Lost; lost < 1.19 || lost > 1.21 {
+		t.Errorf("%v s of service lost", lost)
+	}
+	if l := back[0].Load(emu.Connects); l.Before != 10 || l.After != 50 || l.Where != "m1" || l.AllAfter != 60 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/emu/play/rehearse.go
+++ b/internal/emu/play/rehearse.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"math"
 	"net/netip"
 	"slices"
@@ -10,59 +9,21 @@
 	"strings"
 	"time"
 
+	"passtack/internal/comeback"
 	"passtack/internal/emu"
 	"passtack/internal/loop"
 	"passtack/internal/loop/sim"
 	"passtack/internal/node"
-	"passtack/internal/operator"
 )
 
 func logOf(x float64) float64 { return math.Log(max(x, 1e-12)) }
 
+// everyPeer is where a datagram goes that is for all other drivers.
+var everyPeer = netip.MustParseAddrPort("10.3.255.255:7946")
+
 // epoch is when simulated time begins, as Unix time.
 const epoch = 1767225600 * time.Second
 
-// Result is what a rehearsal came to.
-type Result struct {
-	Script  *Script
-	Seed    uint64
-	Asked   int
-	Served  int
-	Utility float64 // answered in time, over what was asked for
-	Answers map[string]int
-	Broken  []string        // rules
-	Took    []time.Duration // of RPCs that were ok, over all their tries, in rising order
-	Digest  uint64          // of all that was recorded: the same for the same seed
-}
-
-// Met tells whether the rules and the script's expectations are kept.
-func (r *Result) Met() bool {
-	return len(r.Broken) == 0 && float64(r.Served) >= r.Script.LeastOK*float64(r.Asked)
-}
-
-// Latency gives a percentile of what RPCs that were ok took, in milliseconds.
-func (r *Result) Latency(percent float64) float64 {
-	if len(r.Took) == 0 {
-		return 0
-	}
-	return r.Took[min(int(percent/100*float64(len(r.Took))), len(r.Took)-1)].Seconds() * 1000
-}
-
-// Print writes a report.
-func (r *Result) Print(out io.Writer) {
-	fmt.Fprintf(out, "script=%s seed=%d lasts=%v rpcs=%d ok=%.4f expected=%.4f utility=%.4f p50_ms=%.1f p99_ms=%.1f digest=%016x\n", r.Script.Name, r.Seed, r.Script.Lasts,
-		r.Asked, float64(r.Served)/float64(max(r.Asked, 1)), r.Script.LeastOK, r.Utility, r.Latency(50), r.Latency(99), r.Digest)
-	for _, name := range []string{emu.OK, emu.PushedBack, emu.Aborted, emu.Nothing, emu.NotTaken} {
-		fmt.Fprintf(out, "tries_%s=%d\n", strings.ReplaceAll(name, " ", "_"), r.Answers[name])
-	}
-	for _, b := range r.Broken[:min(len(r.Broken), 20)] {
-		fmt.Fprintln(out, "broken", b)
-	}
-	if more := len(r.Broken) - 20; more > 0 {
-		fmt.Fprintf(out, "broken: and %d more\n", more)
-	}
-}
-
 // stage is a rehearsal under way.
 type stage struct {
 	script  *Script
@@ -74,6 +35,10 @@
 	hosts   []*sim.Host
 	drivers []netip.AddrPort
 	agents  []netip.AddrPort
+	talk    []netip.AddrPort // where drivers take each other's datagrams
+	crowd   *sim.Host
+	clients *Clients
+	falls   Falls
 	starts  uint64
 	fault   error
 }
@@ -84,7 +49,9 @@
 	for i := range s.Drivers {
 		st.drivers = append(st.drivers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6543))
 		st.agents = append(st.agents, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8500))
+		st.talk = append(st.talk, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 3, byte(i >> 8), byte(i)}), 7946))
 	}
+	st.world.Crowd(everyPeer, st.talk)
 	st.field = st.world.Host("members")
 	st.field.Cost = 0
 	field, err := on(st.field)
@@ -103,28 +70,34 @@
 			return nil, err
 		}
 	}
-	crowd := st.world.Host("clients")
-	crowd.Cost = 0
-	people, err := on(crowd)
+	st.crowd = st.world.Host("clients")
+	st.crowd.Cost = 0
+	people, err := on(st.crowd)
 	if err != nil {
 		return nil, err
 	}
-	clients := NewClients(people, s, st.record, seed+2, st.drivers)
+	st.clients = NewClients(people, s, st.record, st.cluster.ledger, seed+2, st.drivers)
 	for _, t := range s.Troubles {
 		st.world.At(epoch+t.At, func() { st.trouble(t) })
 	}
-	longest := time.Duration(0)
-	for _, m := range s.Methods {
-		longest = max(longest, m.Limit)
+	for _, at := range s.Edges() {
+		st.world.At(epoch+at, func() { st.bend(at) })
 	}
-	end := epoch + s.Lasts + longest + time.Second
+	end := epoch + s.Ends()
 	st.world.Run(end)
 	if st.fault != nil || st.cluster.fault != nil {
 		return nil, fmt.Errorf("the rehearsal broke down: %v %v", st.fault, st.cluster.fault)
 	}
-	slices.Sort(clients.Took)
-	return &Result{Took: clients.Took, Script: s, Seed: seed, Asked: clients.Asked, Served: clients.Served, Utility: clients.Got / max(clients.Worth, 1e-9),
-		Answers: st.record.Counts(), Broken: st.record.Broken(end), Digest: st.record.Digest()}, nil
+	return st.clients.Result(s, seed, st.cluster, st.falls, end), nil
+}
+
+// Ends tells when all is over, with what was under way at the end of the load.
+func (s *Script) Ends() time.Duration {
+	longest := time.Duration(0)
+	for _, m := range s.Methods {
+		longest = max(longest, m.Limit)
+	}
+	return s.Lasts + longest + time.Second
 }
 
 func on(h *sim.Host) (*loop.Loop, error) {
@@ -145,18 +118,45 @@
 	}
 	h.Serve(l, func() {})
 	st.starts++
-	_, err = node.On(l, &node.Site{
+	site := &node.Site{
 		Name: h.Name, Listen: st.drivers[i], Discovery: st.agents[i], Seed: st.seed*1000003 + st.starts, Descriptors: 1024, Memory: 192 << 20,
-		Known: st.cluster.List(0), Terms: st.script.Terms(),
-	}, operator.None())
+		Known: st.cluster.Known(i), Terms: st.script.Terms(i), Operator: st.script.Operator,
+	}
+	if st.script.Peers {
+		site.PeerListen, site.PeerAll, site.Peers = st.talk[i], everyPeer, st.talk
+	}
+	wants, err := site.Wants()
+	if err != nil {
+		return err
+	}
+	n, err := node.On(l, site, wants)
+	if err == nil && st.clients != nil {
+		st.follow(i, l, n, n.Comeback())
+	}
 	return err
 }
 
-// Terms are what a driver is told of the script's methods, in the project's words.
-func (s *Script) Terms() map[string]string {
+// follow notes the stages in which a driver that has started again says to be.
+func (st *stage) follow(i int, l *loop.Loop, n *node.Node, last comeback.Stage) {
+	l.At(l.Now()+looking, func() {
+		now := n.Comeback()
+		if now != last {
+			st.falls.Reached(i, now.String(), st.world.Now()-epoch)
+		}
+		if now != comeback.Whole {
+			st.follow(i, l, n, now)
+		}
+	})
+}
+
+// looking is how often a driver that comes back is asked how far it is.
+const looking = 10 * time.Millisecond
+
+// Terms are what a driver is told of itself and of the script's methods, in the project's words.
+func (s *Script) Terms(number int) map[string]string {
 	micros := func(d time.Duration) string { return strconv.FormatInt(int64(d/time.Microsecond), 10) }
 	t := map[string]string{
-		"zones": "a", "zone": "0", "drivers": strconv.Itoa(s.Drivers), "tick": "5000", "list": "pushed", "caps.cancel": "true",
+		"zones": "a", "zone": "0", "drivers": strconv.Itoa(s.Drivers), "driver": strconv.Itoa(number), "tick": "5000", "list": "pushed", "caps.cancel": "true",
 		"caps.connect_timeout": "250000", "caps.idle_close": "15000000", "caps.longest_wait": "1000000", "caps.callouts": "8",
 		"family_info.checks": "wait", "family_info.token": "carried", "report.columns": "x0,x1,util", "methods.count": strconv.Itoa(len(s.Methods)),
 		"rules.cold_lasts": micros(s.Build.Warm), "rules.cold_share": "0.25", "rules.cold_multiple": "4", "rules.cold_window": "1000000",
@@ -175,45 +175,132 @@
 	return t
 }
 
+// bend lets links be as they are at a time of the script.
+func (st *stage) bend(at time.Duration) {
+	for _, r := range st.script.Roads() {
+		caller, place := st.crowd, netip.AddrPort{}
+		if n, ok := strings.CutPrefix(r.From, "d"); ok {
+			caller = st.hosts[number(n)]
+		}
+		switch n := number(r.To[1:]); {
+		case r.To == toDiscovery:
+			place = st.agents[number(r.From[1:])]
+		case r.To[0] == 'm':
+			place = st.cluster.members[n].at
+		default:
+			if place = st.drivers[n]; r.From[0] == 'd' {
+				place = st.talk[n]
+			}
+		}
+		there, back := st.script.Between(at, r.From, r.To), st.script.Between(at, r.To, r.From)
+		if there == (Condition{}) && back == there {
+			st.world.Straighten(caller, place)
+		} else {
+			st.world.Bend(caller, place, link(there), link(back))
+		}
+		if st.script.Resets(at, r) {
+			st.world.Break(caller, place)
+		}
+	}
+}
+
+func number(text string) int {
+	n, _ := strconv.Atoi(text)
+	return n
+}
+
+// link adds a condition to what is usual.
+func link(c Condition) sim.Link {
+	l := sim.Plain
+	l.Cut, l.Refuse, l.Delay, l.Jitter, l.Loss = c.Cut, c.Refuse, l.Delay+c.Delay, l.Jitter+c.Jitter, c.Loss
+	l.Double, l.Reorder, l.Late, l.Rate = c.Double, c.Reorder, c.Late, c.Rate
+	return l
+}
+
 // trouble lets something happen, and end.
 func (st *stage) trouble(t Trouble) {
 	now := st.world.Now()
 	until := now + t.Lasts
 	switch t.Kind {
-	case "driver_kill", "driver_pause":
-		for _, n := range t.On {
-			st.record.Down(fmt.Sprint("d", n), now, until)
+	case "driver_kill", "driver_stop", "driver_pause":
+		for place, n := range t.On {
+			back := t.Back(place, until)
+			st.record.Down(Driver(n), now, back)
+			st.falls.Gone(n, now-epoch)
+			st.cluster.Course.Note(now-epoch, Driver(n), "%s", t.Kind)
 			if t.Kind == "driver_pause" {
-				st.hosts[n].Pause(until)
+				st.hosts[n].Pause(back)
+				st.world.At(back, func() {
+					st.falls.Back(n, back-epoch)
+					st.cluster.Course.Note(back-epoch, Driver(n), "goes on")
+				})
 				continue
 			}
+			st.clients.Died(n)
 			st.hosts[n].Kill()
-			st.world.At(until, func() {
+			st.world.At(back, func() {
 				if err := st.drive(n); err != nil {
 					st.fault = err
 				}
+				st.falls.Back(n, back-epoch)
+				st.cluster.Course.Note(back-epoch, Driver(n), "started")
 			})
 		}
-	case "cut", "loss":
-		for _, n := range t.On {
-			st.record.Held(fmt.Sprint("d", n), now, until)
-			l := sim.Plain
-			if l.Cut = t.Kind == "cut"; !l.Cut {
-				l.Loss = min(t.Times, 0.9)
-			}
-			st.world.Join(st.hosts[n], st.field, l)
-			st.world.At(until, func() { st.world.Join(st.hosts[n], st.field, sim.Plain) })
-		}
 	default:
-		st.field.Do(func() { st.cluster.trouble(t, until) })
+		st.field.Do(func() { st.cluster.Trouble(t, until) })
 	}
 }
 
-// trouble lets something happen to members or discovery until then.
-func (c *Cluster) trouble(t Trouble, until time.Duration) {
+// Back tells when the driver at a place of On starts again, where the first does at a time.
+func (t *Trouble) Back(place int, first time.Duration) time.Duration {
+	return first + t.Within*time.Duration(place)/time.Duration(max(len(t.On)-1, 1))
+}
+
+// words tell what it is, for who reads the course.
+func (t *Trouble) words() string {
+	text := fmt.Sprintf("%s for %v", t.Kind, t.Lasts)
+	if len(t.On) > 0 {
+		text += fmt.Sprintf(", on %v", t.On)
+	}
+	if t.From != nil {
+		text += fmt.Sprintf(", between %v and %v", t.From, t.To)
+	}
+	if t.Islands != nil {
+		text += fmt.Sprintf(", islands %v", t.Islands)
+	}
+	return text
+}
+
+// Links tells whether it is about links.
+func (t *Trouble) Links() bool { return kinds[t.Kind].about == "link" }
+
+// hold notes that what drivers send may come late while their links are troubled.
+func (t *Trouble) hold(r *emu.Record, from, to time.Duration) {
+	for _, names := range append([][]string{t.From, t.To}, t.Islands...) {
+		for _, name := range names {
+			r.Held(name, from, to)
+		}
+	}
+}
+
+// Trouble lets something happen to members or discovery until then.
+func (c *Cluster) Trouble(t Trouble, until time.Duration) {
 	later := func(act func()) { c.loop.At(until, act) }
-	if t.Kind == "discovery" {
-		c.down = until
+	c.note("script", "%s", t.words())
+	if t.Links() {
+		t.hold(c.record, c.loop.Now(), until)
+	}
+	switch t.Kind {
+	case "discovery":
+		for i, a := range c.agents {
+			if len(t.On) == 0 || slices.Contains(t.On, i) {
+				a.down = until
+			}
+		}
+		return
+	case "discovery_old":
+		c.old = until
+		return
 	}
 	for _, n := range t.On {
 		m := c.members[n]
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -27,13 +29,21 @@
 	Share       float64 // of the RPCs
 }
 
-// Trouble is something that happens to some of the hosts.
+// Trouble is something that happens to some of the hosts, or to what goes between them.
 type Trouble struct {
-	Kind  string
-	At    time.Duration
-	Lasts time.Duration
-	On    []int // which members or drivers
-	Times float64
+	Kind   string
+	At     time.Duration
+	Lasts  time.Duration
+	On     []int // which members or drivers
+	Times  float64
+	Within time.Duration // drivers that were ended start again within this, one after the other
+
+	From, To   []string   // places between which a link is troubled
+	OneWay     bool       // only from the first to the second
+	Islands    [][]string // of a partition: who is on one reaches nobody that is on others only
+	Every      time.Duration
+	By, Jitter time.Duration
+	Rate       int
 }
 
 // Script is what is rehearsed.
@@ -45,12 +55,17 @@
 	Build           emu.Build
 	Election        emu.Election
 	ListDelay       time.Duration
+	Peers           bool   // drivers may talk with each other
+	Operator        string // the operator's own file of every driver, "": none
+	Older           []int  // drivers that an older program is started for, where drivers are processes
 	Methods         []*Method
 	Rate            float64 // RPCs a second
 	Surges          []Surge
 	Sessions        int
 	Retries         int
-	Obeys           bool // clients come back when they were told
+	Obeys           bool          // clients come back when they were told
+	Route           string        // how clients pick their driver: fixed, stay or spread
+	Notice          time.Duration // until who deals clients out notices that a driver is dead
 	Grace           time.Duration
 	Troubles        []Trouble
 	LeastOK         float64 // expected part of the RPCs that are ok
@@ -71,10 +86,20 @@
 	return nil
 }
 
-// kinds are the troubles that there are, and whom they are about.
-var kinds = map[string]string{
-	"pause": "member", "kill": "member", "slow": "member", "theft": "member", "lag": "member", "drain": "member",
-	"driver_kill": "driver", "driver_pause": "driver", "cut": "driver", "loss": "driver", "discovery": "none",
+// kind is what a trouble is about, and which entries it has beside at and lasts.
+type kind struct {
+	about, has string
+}
+
+var kinds = map[string]kind{
+	"pause": {"member", "part"}, "kill": {"member", "part"}, "drain": {"member", ""},
+	"slow": {"member", "times"}, "theft": {"member", "times"}, "lag": {"member", "times"},
+	"driver_kill": {"driver", "within part"}, "driver_stop": {"driver", "within part"}, "driver_pause": {"driver", "part"},
+	"discovery": {"agent", ""}, "discovery_old": {"none", ""},
+	"cut": {"link", "every one_way"}, "refuse": {"link", "every"}, "reset": {"link", ""},
+	"loss": {"link", "times every one_way"}, "delay": {"link", "by jitter every one_way"},
+	"double": {"link", "times by every one_way"}, "reorder": {"link", "times by every one_way"},
+	"thin": {"link", "rate every one_way"}, "partition": {"link", "islands every"},
 }
 
 // text is the script as HCL has it.
@@ -89,6 +114,11 @@
 		Warm      string `hcl:"warm,optional"`
 		Apply     string `hcl:"apply,optional"`
 		ListDelay string `hcl:"list_delay,optional"`
+		Handshake string `hcl:"handshake,optional"`
+		Conns     int    `hcl:"connections,optional"`
+		Peers     bool   `hcl:"peers,optional"`
+		Operator  string `hcl:"operator,optional"`
+		Older     []int  `hcl:"older,optional"`
 		Notice    string `hcl:"notice,optional"`
 		Takeover  string `hcl:"takeover,optional"`
 	} `hcl:"fleet,block"`
@@ -97,6 +127,8 @@
 		Sessions int     `hcl:"sessions,optional"`
 		Retries  int     `hcl:"retries,optional"`
 		Obeys    *bool   `hcl:"obeys,optional"`
+		Route    string  `hcl:"route,optional"`
+		Notice   string  `hcl:"notice,optional"`
 		Methods  []struct {
 			Name    string  `hcl:"name,label"`
 			Need    string  `hcl:"need"`
@@ -117,11 +149,21 @@
 		} `hcl:"surge,block"`
 	} `hcl:"load,block"`
 	Troubles []struct {
-		Kind  string  `hcl:"kind,label"`
-		At    string  `hcl:"at"`
-		Lasts string  `hcl:"lasts,optional"`
-		On    []int   `hcl:"on,optional"`
-		Times float64 `hcl:"times,optional"`
+		Kind    string     `hcl:"kind,label"`
+		At      string     `hcl:"at"`
+		Lasts   string     `hcl:"lasts,optional"`
+		On      []int      `hcl:"on,optional"`
+		Times   float64    `hcl:"times,optional"`
+		Within  string     `hcl:"within,optional"`
+		Part    float64    `hcl:"part,optional"`
+		From    []string   `hcl:"from,optional"`
+		To      []string   `hcl:"to,optional"`
+		OneWay  bool       `hcl:"one_way,optional"`
+		Islands [][]string `hcl:"islands,optional"`
+		Every   string     `hcl:"every,optional"`
+		By      string     `hcl:"by,optional"`
+		Jitter  string     `hcl:"jitter,optional"`
+		Rate    int        `hcl:"rate,optional"`
 	} `hcl:"trouble,block"`
 	Expect []struct {
 		OK float64 `hcl:"ok,optional"`
@@ -129,12 +171,15 @@
 }
 
 // ReadScript reads and checks a script; all that is wrong with it is told at once, a line each.
-func ReadScript(name string) (*Script, error) {
+func ReadScript(name string) (*Script, error) { return ReadScaled(name, 1) }
+
+// ReadScaled is ReadScript with so many times the drivers, groups, sessions and RPCs.
+func ReadScaled(name string, times int) (*Script, error) {
 	in, err := os.ReadFile(name)
 	if err != nil {
 		return nil, err
 	}
-	return ParseScript(in, name)
+	return parse(in, name, times)
 }
 
 // mistakes collects what is wrong.
@@ -145,7 +190,9 @@
 }
 
 // ParseScript is ReadScript of a text.
-func ParseScript(in []byte, name string) (*Script, error) {
+func ParseScript(in []byte, name string) (*Script, error) { return parse(in, name, 1) }
+
+func parse(in []byte, name string, times int) (*Script, error) {
 	wrong := new(mistakes)
 	parsed, diagnostics := hclsyntax.ParseConfig(in, name, hcl.InitialPos)
 	var t text
@@ -162,8 +209,11 @@
 	if diagnostics.HasErrors() {
 		return nil, fmt.Errorf("%s", strings.Join(wrong.lines, "\n"))
 	}
+	t.Fleet.Groups = max(t.Fleet.Groups, 1)
+	t.Fleet.Drivers, t.Fleet.Groups = t.Fleet.Drivers*times, t.Fleet.Groups*times
+	t.Load.Rate, t.Load.Sessions = t.Load.Rate*float64(times), t.Load.Sessions*times
 	lines := places(parsed.Body.(*hclsyntax.Body))
-	s := t.script(func(path, format string, args ...any) {
+	s := t.script(name, func(path, format string, args ...any) {
 		wrong.say("%s:%d: %s: %s", name, lines[path], path, fmt.Sprintf(format, args...))
 	})
 	if len(wrong.lines) > 0 {
@@ -199,7 +249,7 @@
 	return lines
 }
 
-func (t *text) script(wrong func(path, format string, args ...any)) *Script {
+func (t *text) script(name string, wrong func(path, format string, args ...any)) *Script {
 	span := func(path, value string, otherwise time.Duration) time.Duration {
 		if value == "" {
 			return otherwise
@@ -239,12 +289,30 @@
 		Members: count("fleet members", f.Members, 1, 50), ListDelay: span("fleet list_delay", f.ListDelay, time.Second), Grace: 250 * time.Millisecond,
 		Build: emu.Build{Cores: count("fleet cores", f.Cores, 4, 256), Queue: count("fleet queue", f.Queue, 64, 10000), Cold: 0.25,
 			Warm: span("fleet warm", f.Warm, 16*time.Second), Multiple: 4, Tips: time.Second, Patience: 50 * time.Millisecond,
+			Handshake: span("fleet handshake", f.Handshake, 0), Connections: f.Conns,
 			Delay: 5 * time.Millisecond, Apply: span("fleet apply", f.Apply, time.Millisecond), Window: 1200 * time.Millisecond},
 		Election: emu.Election{Notice: between("fleet notice", f.Notice, time.Second, 2*time.Second),
 			Takeover: between("fleet takeover", f.Takeover, time.Second, 3*time.Second),
 			HandOver: [2]time.Duration{300 * time.Millisecond, 900 * time.Millisecond}, Contest: 300 * time.Millisecond},
 		Rate: t.Load.Rate, Sessions: count("load sessions", t.Load.Sessions, 200, 1<<20), Retries: t.Load.Retries,
-		Obeys: t.Load.Obeys == nil || *t.Load.Obeys,
+		Obeys: t.Load.Obeys == nil || *t.Load.Obeys, Route: t.Load.Route, Notice: span("load notice", t.Load.Notice, time.Second),
+	}
+	if s.Route == "" {
+		s.Route = "fixed"
+	}
+	if !strings.Contains(" fixed stay spread ", " "+s.Route+" ") {
+		wrong("load route", "%q is none of fixed, stay and spread", s.Route)
+	}
+	if s.Peers, s.Older = f.Peers, f.Older; f.Operator != "" {
+		s.Operator = filepath.Join(filepath.Dir(name), f.Operator)
+	}
+	for _, n := range f.Older {
+		if n < 0 || n >= s.Drivers {
+			wrong("fleet older", "there is no driver %d", n)
+		}
+	}
+	if f.Conns < 0 {
+		wrong("fleet connections", "%d is under 0", f.Conns)
 	}
 	if s.Lasts < time.Second {
 		wrong("lasts", "%v is under a second", s.Lasts)
@@ -288,32 +356,115 @@
 		}
 		s.Surges = append(s.Surges, surge)
 	}
-	for i, x := range t.Troubles {
-		at := fmt.Sprintf("trouble %d", i+1)
-		trouble := Trouble{Kind: x.Kind, At: span(at+" at", x.At, 0), Lasts: span(at+" lasts", x.Lasts, time.Second), On: x.On, Times: x.Times}
-		about, known := kinds[x.Kind]
-		if !known {
-			wrong(at, "there is no trouble %q", x.Kind)
+	for i := range t.Troubles {
+		s.Troubles = append(s.Troubles, t.trouble(s, i, span, wrong))
+	}
+	for _, e := range t.Expect {
+		s.LeastOK = e.OK
+	}
+	return s
+}
+
+// trouble reads one of the troubles. What its kind has no use for is a mistake, as is what it lacks.
+func (t *text) trouble(s *Script, i int, span func(path, value string, otherwise time.Duration) time.Duration,
+	wrong func(path, format string, args ...any)) Trouble {
+	x, at := t.Troubles[i], fmt.Sprintf("trouble %d", i+1)
+	r := Trouble{Kind: x.Kind, At: span(at+" at", x.At, 0), Lasts: span(at+" lasts", x.Lasts, time.Second), On: x.On, Times: x.Times,
+		Within: span(at+" within", x.Within, 0), OneWay: x.OneWay, Every: span(at+" every", x.Every, 0),
+		By: span(at+" by", x.By, 0), Jitter: span(at+" jitter", x.Jitter, 0), Rate: x.Rate}
+	k, known := kinds[x.Kind]
+	if !known {
+		wrong(at, "there is no trouble %q", x.Kind)
+		return r
+	}
+	if r.At > s.Lasts {
+		wrong(at+" at", "%v is after the end", r.At)
+	}
+	has := func(name string) bool { return slices.Contains(strings.Fields(k.has), name) }
+	for name, given := range map[string]bool{"times": x.Times != 0, "within": x.Within != "", "one_way": x.OneWay, "islands": x.Islands != nil,
+		"part": x.Part != 0, "every": x.Every != "", "by": x.By != "", "jitter": x.Jitter != "", "rate": x.Rate != 0} {
+		if given && !has(name) {
+			wrong(at+" "+name, "%s has no use for it", x.Kind)
+		}
+	}
+	for name, missing := range map[string]bool{"rate": x.Rate <= 0, "islands": len(x.Islands) < 2} {
+		if missing && has(name) {
+			wrong(at, "%s is missing or too small", name)
 		}
-		if trouble.At > s.Lasts {
-			wrong(at+" at", "%v is after the end", trouble.At)
+	}
+	if r.Times == 0 {
+		r.Times = map[string]float64{"double": 0.3, "reorder": 0.3}[x.Kind]
+	}
+	if r.Times == 0 {
+		r.Times = 4
+	}
+	if has("by") && r.By == 0 {
+		r.By = 50 * time.Millisecond
+	}
+	most := map[string]int{"member": s.Members * s.Groups, "driver": s.Drivers, "link": s.Drivers, "agent": s.Drivers}[k.about]
+	for _, n := range x.On {
+		if n < 0 || n >= most {
+			wrong(at+" on", "there is no %s %d", map[bool]string{true: "member", false: "driver"}[k.about == "member"], n)
 		}
-		most := map[string]int{"member": s.Members * s.Groups, "driver": s.Drivers}[about]
-		for _, n := range x.On {
-			if n < 0 || n >= most {
-				wrong(at+" on", "there is no %s %d", about, n)
+	}
+	if k.about == "none" && len(x.On) > 0 {
+		wrong(at+" on", "%s has no use for it", x.Kind)
+	}
+	if x.Part < 0 || x.Part > 1 || x.Part > 0 && len(x.On) > 0 {
+		wrong(at+" part", "%v is not from 0 to 1, or on is given too", x.Part)
+	}
+	for n := range int(x.Part*float64(most) + 0.999) {
+		r.On = append(r.On, n)
+	}
+	if len(r.On) == 0 && (k.about == "member" || k.about == "driver") {
+		wrong(at, "on is missing")
+	}
+	if k.about != "link" && (x.From != nil || x.To != nil) {
+		wrong(at, "%s has no use for from and to", x.Kind)
+	}
+	if k.about == "link" && x.Kind != "partition" {
+		r.ends(s, at, x.From, x.To, wrong)
+	}
+	for _, island := range x.Islands {
+		var on []string
+		for _, name := range island {
+			names, err := s.places(name)
+			if err != nil {
+				wrong(at+" islands", "%v", err)
 			}
+			on = append(on, names...)
 		}
-		if len(x.On) == 0 && about != "none" && known {
-			wrong(at, "on is missing")
+		r.Islands = append(r.Islands, on)
+	}
+	return r
+}
+
+// ends reads between what a link is troubled: from and to, or the drivers that on names and all members.
+func (r *Trouble) ends(s *Script, at string, from, to []string, wrong func(path, format string, args ...any)) {
+	if len(from) == 0 && len(to) == 0 {
+		for _, n := range r.On {
+			r.From = append(r.From, Driver(n))
 		}
-		if trouble.Times == 0 {
-			trouble.Times = 4
+		r.To, _ = s.places("members")
+		if len(r.On) == 0 {
+			wrong(at, "on is missing, or from and to")
 		}
-		s.Troubles = append(s.Troubles, trouble)
+		return
 	}
-	for _, e := range t.Expect {
-		s.LeastOK = e.OK
+	if len(r.On) > 0 || len(from) == 0 || len(to) == 0 {
+		wrong(at, "it wants either on, or from and to")
+	}
+	for name, texts := range map[string][]string{"from": from, "to": to} {
+		for _, text := range texts {
+			names, err := s.places(text)
+			if err != nil {
+				wrong(at+" "+name, "%v", err)
+			}
+			if name == "from" {
+				r.From = append(r.From, names...)
+			} else {
+				r.To = append(r.To, names...)
+			}
+		}
 	}
-	return s
 }
--- /dev/null
+++ b/internal/emu/rig/rig.go
@@ -0,0 +1,453 @@
+package rig
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"passtack/internal/emu"
+	"passtack/internal/emu/play"
+	"passtack/internal/loop"
+	"passtack/internal/pcg"
+)
+
+// Programs are what is started as drivers.
+type Programs struct {
+	Path  string
+	Older string // for the drivers that the script names as older
+}
+
+// driver is one process, and what it is started with.
+type driver struct {
+	number   int
+	name     string
+	told     play.Told
+	program  string
+	process  *exec.Cmd
+	life     int  // counts processes
+	running  bool // and not told to end
+	serves   bool // it has said that it has started
+	behind   netip.AddrPort
+	answered chan struct{}
+}
+
+// said is a line of a driver's log, or its end.
+type said struct {
+	driver *driver
+	life   int
+	line   string
+	ended  bool
+	cause  error
+}
+
+// fleet is a play under way.
+type fleet struct {
+	script   *play.Script
+	seed     uint64
+	log      io.Writer
+	folder   string
+	loop     *loop.Loop
+	chance   *pcg.Source
+	record   *emu.Record
+	cluster  *play.Cluster
+	clients  *play.Clients
+	drivers  []*driver
+	relays   map[play.Road]*relay
+	posts    map[play.Road]*post
+	everyone []*loop.Datagrams // where each driver addresses all others at once
+	falls    play.Falls
+	said     chan said
+	readers  sync.WaitGroup // of the drivers' logs
+	began    time.Duration  // of the script; 0: not yet
+	starts   uint64
+	fault    error
+}
+
+const (
+	mostStart = 20 * time.Second // that drivers may take to serve
+	mostEnd   = 20 * time.Second // that a driver may take to end when it is told to
+)
+
+// Play plays the script in real time with processes as the drivers. What they log goes to log, each line behind its driver's
+// name. No process outlives the call, nor this process.
+func Play(s *play.Script, seed uint64, programs Programs, log io.Writer) (*play.Result, error) {
+	f := &fleet{script: s, seed: seed, log: log, chance: pcg.New(seed + 3), relays: make(map[play.Road]*relay),
+		posts: make(map[play.Road]*post), said: make(chan said, 1024),
+		record: emu.NewRecord(emu.Allowed{Grace: s.Grace, Slack: 150 * time.Millisecond})}
+	var err error
+	if f.folder, err = os.MkdirTemp("", "rig"); err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(f.folder)
+	lots, err := claim()
+	if err != nil {
+		return nil, err
+	}
+	defer lots.claim.Close() // once nobody listens in its block
+	if f.loop, err = loop.New(1<<16, 1<<30); err != nil {
+		return nil, err
+	}
+	defer f.loop.Close()
+	if err := f.build(programs, lots); err != nil {
+		return nil, err
+	}
+	defer f.stop()
+	for _, d := range f.drivers {
+		if err := f.start(d); err != nil {
+			return nil, err
+		}
+	}
+	f.loop.At(f.loop.Now()+mostStart, func() {
+		if f.began == 0 {
+			f.fail("not all drivers serve after %v", mostStart)
+		}
+	})
+	if err := f.loop.Run(f.hear); err != nil {
+		return nil, err
+	}
+	if f.fault == nil {
+		f.fault = f.cluster.Fault()
+	}
+	if f.fault != nil {
+		return nil, fmt.Errorf("the play broke down: %w", f.fault)
+	}
+	return f.clients.Result(s, seed, f.cluster, f.falls, f.loop.Now()), nil
+}
+
+func (f *fleet) fail(format string, args ...any) {
+	if f.fault == nil {
+		f.fault = fmt.Errorf(format, args...)
+	}
+	f.loop.Stop()
+}
+
+// build lays all roads.
+func (f *fleet) build(programs Programs, lots *lots) (err error) {
+	s := f.script
+	agents := make([]netip.AddrPort, s.Drivers)
+	for i := range agents {
+		agents[i] = lots.next()
+	}
+	members := make([]netip.AddrPort, s.Groups*s.Members)
+	for i := range members {
+		members[i] = lots.next()
+	}
+	if f.cluster, err = play.NewCluster(f.loop, s, f.record, f.seed+1, func(n int) netip.AddrPort { return members[n] }, agents); err != nil {
+		return err
+	}
+	f.cluster.Address = func(driver, member int) netip.AddrPort {
+		return f.relays[play.Road{From: play.Driver(driver), To: play.Member(member)}].at
+	}
+	for i := range s.Drivers {
+		d := &driver{number: i, name: play.Driver(i), program: programs.Path, behind: lots.next()}
+		if slices.Contains(s.Older, i) {
+			if d.program = programs.Older; d.program == "" {
+				return fmt.Errorf("the script has an older program for driver %d, and none is given", i)
+			}
+		}
+		f.drivers = append(f.drivers, d)
+	}
+	for _, r := range s.Roads() {
+		d := f.drivers[0]
+		if r.From[0] == 'd' {
+			d = f.drivers[number(r.From)]
+		}
+		var to netip.AddrPort
+		switch {
+		case r.To == "discovery":
+			to = agents[d.number]
+		case r.To[0] == 'm':
+			to = members[number(r.To)]
+		case r.From == "clients":
+			to = f.drivers[number(r.To)].behind
+		default:
+			continue
+		}
+		if f.relays[r], err = newRelay(f.loop, f.chance, lots.next(), to); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.drivers {
+		d.told = play.Told{Name: d.name, Number: d.number, Listen: d.behind, Discovery: f.relays[play.Road{From: d.name, To: "discovery"}].at}
+	}
+	if s.Peers {
+		return f.connect(lots)
+	}
+	return nil
+}
+
+// connect lets drivers talk with each other: a post for each pair and direction, and one for all at once.
+func (f *fleet) connect(lots *lots) error {
+	for _, d := range f.drivers {
+		d.told.PeerListen = lots.next()
+		d.told.PeerAll = lots.next()
+		d.told.Peers = make([]netip.AddrPort, len(f.drivers))
+		d.told.Peers[d.number] = d.told.PeerListen
+	}
+	for _, d := range f.drivers {
+		for _, o := range f.drivers {
+			if o == d {
+				continue
+			}
+			p := &post{loop: f.loop, chance: f.chance, to: o.told.PeerListen}
+			at := lots.next()
+			var err error
+			if p.socket, err = f.loop.Receive(at, func(_ netip.AddrPort, text []byte) { p.pass(text) }); err != nil {
+				return err
+			}
+			d.told.Peers[o.number] = at
+			f.posts[play.Road{From: d.name, To: o.name}] = p
+		}
+		every, err := f.loop.Receive(d.told.PeerAll, func(_ netip.AddrPort, text []byte) {
+			for _, o := range f.drivers {
+				if p := f.posts[play.Road{From: d.name, To: o.name}]; p != nil {
+					p.pass(text)
+				}
+			}
+		})
+		if err != nil {
+			return err
+		}
+		f.everyone = append(f.everyone, every)
+	}
+	for r, p := range f.posts {
+		p.from = f.posts[play.Road{From: r.To, To: r.From}]
+	}
+	return nil
+}
+
+func number(name string) int {
+	n, _ := strconv.Atoi(name[1:])
+	return n
+}
+
+// start runs a driver.
+func (f *fleet) start(d *driver) error {
+	f.starts++
+	d.life++
+	d.told.Seed, d.told.Known = f.seed*1000003+f.starts, f.cluster.Known(d.number)
+	at := filepath.Join(f.folder, d.name+".json")
+	if err := os.WriteFile(at, f.script.SiteJSON(d.told), 0o600); err != nil {
+		return err
+	}
+	args := []string{"serve", "--site", at}
+	if f.script.Operator != "" {
+		args = append(args, "--operator", f.script.Operator)
+	}
+	c := exec.Command(d.program, args...)
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	log, err := c.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	d.process, d.running, d.serves, d.answered = c, true, false, make(chan struct{})
+	life, ended := d.life, d.answered
+	f.readers.Go(func() {
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			f.said <- said{driver: d, life: life, line: lines.Text()}
+			f.loop.Ring()
+		}
+		cause := c.Wait()
+		close(ended)
+		f.said <- said{driver: d, life: life, ended: true, cause: cause}
+		f.loop.Ring()
+	})
+	return nil
+}
+
+// stop ends all processes that still run, and waits until nobody rings the loop any more.
+func (f *fleet) stop() {
+	for _, d := range f.drivers {
+		if d.process != nil {
+			d.process.Process.Signal(syscall.SIGCONT)
+			d.process.Process.Kill()
+		}
+	}
+	over := make(chan struct{})
+	go func() {
+		f.readers.Wait()
+		close(over)
+	}()
+	for {
+		select {
+		case <-f.said: // nobody is told any more
+		case <-over:
+			return
+		}
+	}
+}
+
+// hear takes what drivers have logged.
+func (f *fleet) hear() {
+	for {
+		select {
+		case s := <-f.said:
+			f.heard(s)
+		default:
+			return
+		}
+	}
+}
+
+func (f *fleet) heard(s said) {
+	d := s.driver
+	if s.ended {
+		if s.life == d.life && d.running {
+			f.fail("driver %s ended by itself: %v", d.name, s.cause)
+		}
+		return
+	}
+	fmt.Fprintln(f.log, d.name, s.line)
+	if s.life != d.life {
+		return
+	}
+	event := field(s.line, "event")
+	if strings.Contains(s.line, "level=ERROR") {
+		f.fail("driver %s: %s", d.name, s.line)
+	}
+	if event == "comeback" && f.began > 0 {
+		f.note(d, "is %s", field(s.line, "stage"))
+		f.falls.Reached(d.number, field(s.line, "stage"), f.loop.Now()-f.began)
+	}
+	if event != "started" {
+		return
+	}
+	d.serves = true
+	if f.began > 0 {
+		f.note(d, "serves")
+		f.falls.Back(d.number, f.loop.Now()-f.began)
+	} else if !slices.ContainsFunc(f.drivers, func(o *driver) bool { return !o.serves }) {
+		f.begin()
+	}
+}
+
+// field gives a value of a line of the log.
+func field(line, name string) string {
+	_, rest, _ := strings.Cut(" "+line, " "+name+"=")
+	value, _, _ := strings.Cut(rest, " ")
+	return strings.Trim(value, `"`)
+}
+
+func (f *fleet) note(d *driver, format string, args ...any) {
+	f.cluster.Course.Note(f.loop.Now()-f.began, d.name, format, args...)
+}
+
+// begin lets clients come, and the script's time begin.
+func (f *fleet) begin() {
+	f.began = f.loop.Now()
+	f.cluster.Begin()
+	var doors []netip.AddrPort
+	for _, d := range f.drivers {
+		doors = append(doors, f.relays[play.Road{From: "clients", To: d.name}].at)
+	}
+	f.clients = play.NewClients(f.loop, f.script, f.record, f.cluster.Ledger(), f.seed+2, doors)
+	for _, t := range f.script.Troubles {
+		f.loop.At(f.began+t.At, func() { f.trouble(t) })
+	}
+	for _, at := range f.script.Edges() {
+		f.loop.At(f.began+at, func() { f.bend(at) })
+	}
+	f.loop.At(f.began+f.script.Ends(), f.loop.Stop)
+}
+
+// bend lets links be as they are at a time of the script.
+func (f *fleet) bend(at time.Duration) {
+	for r, relay := range f.relays {
+		if err := relay.bend(f.script.Between(at, r.From, r.To), f.script.Between(at, r.To, r.From)); err != nil {
+			f.fail("%s to %s: %w", r.From, r.To, err)
+		}
+		if f.script.Resets(at, r) {
+			relay.reset()
+		}
+	}
+	for r, p := range f.posts {
+		p.condition = f.script.Between(at, r.From, r.To)
+	}
+}
+
+// trouble lets something happen.
+func (f *fleet) trouble(t play.Trouble) {
+	until := f.loop.Now() + t.Lasts
+	switch t.Kind {
+	case "driver_kill", "driver_stop", "driver_pause":
+		for place, n := range t.On {
+			f.strike(f.drivers[n], t.Kind, t.Back(place, until))
+		}
+	default:
+		f.cluster.Trouble(t, until)
+	}
+}
+
+// strike ends or stops a driver, which goes on then. One that is down already stays so until the later time.
+func (f *fleet) strike(d *driver, how string, back time.Duration) {
+	now := f.loop.Now()
+	f.record.Down(d.name, now, back+time.Second) // it has to start
+	f.falls.Gone(d.number, now-f.began)
+	f.note(d, "%s", how)
+	if how == "driver_pause" {
+		d.process.Process.Signal(syscall.SIGSTOP)
+		life := d.life
+		f.loop.At(back, func() {
+			if d.life == life && d.running {
+				d.process.Process.Signal(syscall.SIGCONT)
+				f.falls.Back(d.number, f.loop.Now()-f.began)
+				f.note(d, "goes on")
+			}
+		})
+		return
+	}
+	if !d.running {
+		return
+	}
+	f.clients.Died(d.number)
+	d.running = false
+	if how == "driver_kill" {
+		d.process.Process.Kill()
+		<-d.answered
+		f.again(d, back)
+		return
+	}
+	d.process.Process.Signal(syscall.SIGTERM)
+	life, ended, lasts := d.life, d.answered, back-now
+	f.loop.At(now+mostEnd, func() {
+		if d.life == life && !d.running {
+			f.fail("driver %s does not end though it was told to", d.name)
+		}
+	})
+	var look func()
+	look = func() {
+		select {
+		case <-ended:
+			f.note(d, "ended")
+			f.again(d, f.loop.Now()+lasts)
+		default:
+			f.loop.At(f.loop.Now()+10*time.Millisecond, look)
+		}
+	}
+	look()
+}
+
+// again starts a driver that has ended.
+func (f *fleet) again(d *driver, at time.Duration) {
+	f.loop.At(at, func() {
+		f.note(d, "starts")
+		if err := f.start(d); err != nil {
+			f.fail("driver %s: %w", d.name, err)
+		}
+	})
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"math"
 	"runtime"
 	"slices"
@@ -12,7 +14,11 @@
 	"sync"
 	"time"
 
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"passtack/internal/emu"
 	"passtack/internal/emu/play"
+	"passtack/internal/emu/rig"
 )
 
 // Row is one rehearsal.
@@ -30,6 +36,26 @@
 	P50        float64 `parquet:"p50_ms"`
 	P99        float64 `parquet:"p99_ms"`
 	Digest     string  `parquet:"digest"`
+
+	Drivers       int64   `parquet:"drivers"`
+	Whole         float64 `parquet:"whole_s"` // after the last fall; under 0: never
+	Lost          float64 `parquet:"lost_s"`  // of service, in seconds of the level before
+	Connects      float64 `parquet:"connects"`
+	ConnectsUsual float64 `parquet:"connects_usual"`
+	Member        float64 `parquet:"connects_at_one"`
+	MemberUsual   float64 `parquet:"connects_at_one_usual"`
+	Lists         float64 `parquet:"lists"`
+	ListsUsual    float64 `parquet:"lists_usual"`
+	Full          float64 `parquet:"full"`
+	Cold          float64 `parquet:"cold"`
+	Stale         float64 `parquet:"stale"`
+}
+
+// How tells how rehearsals are played.
+type How struct {
+	Scale   int    // times the drivers, groups, sessions and RPCs of each script
+	Program string // what is started as the drivers, as processes; "": simulated
+	AtOnce  int    // plays at a time, 0: as many as there are cores
 }
 
 // Arm is a change of each script, by which it is compared with the first.
@@ -85,7 +111,7 @@
 
 // Play plays every script with every arm and seed, as many at a time as there are cores. When the context ends, those under
 // way are ended and their rows are there; rows come in order in any case.
-func Play(c context.Context, files []string, arms []Arm, seeds []uint64, each func(done, all int, r Row)) ([]Row, error) {
+func Play(c context.Context, how How, files []string, arms []Arm, seeds []uint64, each func(done, all int, r Row)) ([]Row, error) {
 	type task struct {
 		place int
 		file  string
@@ -101,7 +127,7 @@
 		}
 	}
 	for _, file := range files { // all are read before any is played
-		if _, err := play.ReadScript(file); err != nil {
+		if _, err := play.ReadScaled(file, max(how.Scale, 1)); err != nil {
 			return nil, err
 		}
 	}
@@ -111,10 +137,13 @@
 	var mutex sync.Mutex
 	var failed error
 	done := 0
-	for range min(runtime.GOMAXPROCS(0), len(tasks)) {
+	if how.AtOnce == 0 {
+		how.AtOnce = runtime.GOMAXPROCS(0)
+	}
+	for range min(how.AtOnce, len(tasks)) {
 		workers.Go(func() {
 			for t := range queue {
-				r, err := one(t.file, t.arm, t.seed)
+				r, err := one(how, t.file, t.arm, t.seed)
 				mutex.Lock()
 				if err != nil {
 					failed = err
@@ -147,24 +176,100 @@
 	return whole, failed
 }
 
-func one(file string, arm Arm, seed uint64) (Row, error) {
-	s, err := play.ReadScript(file)
+func one(how How, file string, arm Arm, seed uint64) (Row, error) {
+	s, err := play.ReadScaled(file, max(how.Scale, 1))
 	if err != nil {
 		return Row{}, err
 	}
 	for _, change := range arm.change {
 		change(s)
 	}
-	r, err := play.Rehearse(s, seed)
+	var r *play.Result
+	if how.Program != "" {
+		r, err = rig.Play(s, seed, rig.Programs{Path: how.Program}, io.Discard)
+	} else {
+		r, err = play.Rehearse(s, seed)
+	}
 	if err != nil {
 		return Row{}, fmt.Errorf("%s, arm %s, seed %d: %w", file, arm.Name, seed, err)
 	}
 	name := file[strings.LastIndexByte(file, '/')+1:]
-	return Row{
+	row := Row{
 		Script: strings.TrimSuffix(name, ".hcl"), Arm: arm.Name, Seed: seed, RPCs: int64(r.Asked), OK: float64(r.Served) / float64(max(r.Asked, 1)),
 		Utility: r.Utility, PushedBack: int64(r.Answers["pushed back"]), Aborted: int64(r.Answers["aborted"]), Nothing: int64(r.Answers["nothing"]),
 		Broken: int64(len(r.Broken)), P50: r.Latency(50), P99: r.Latency(99), Digest: fmt.Sprintf("%016x", r.Digest),
-	}, nil
+		Drivers: int64(s.Drivers),
+	}
+	if returns := r.Returns(); len(returns) > 0 {
+		row.fell(returns[len(returns)-1])
+	}
+	return row, nil
+}
+
+// fell takes over how the fleet came back.
+func (r *Row) fell(back play.Return) {
+	connects, lists := back.Load(emu.Connects), back.Load(emu.Lists)
+	r.Whole, r.Lost, r.Cold, r.Stale = back.Whole.Seconds(), back.Lost, back.Cold, back.Stale
+	r.Connects, r.ConnectsUsual, r.Member, r.MemberUsual = connects.AllAfter, connects.AllBefore, connects.After, connects.Before
+	r.Lists, r.ListsUsual, r.Full = lists.AllAfter, lists.AllBefore, back.Load(emu.Fulls).AllAfter
+}
+
+// numbers are the columns of a row that can be compared, by name.
+func (r *Row) numbers() map[string]float64 {
+	return map[string]float64{"ok": r.OK, "utility": r.Utility, "broken": float64(r.Broken), "p99_ms": r.P99, "whole_s": r.Whole, "lost_s": r.Lost,
+		"connects": r.Connects, "connects_at_one": r.Member, "lists": r.Lists, "full": r.Full, "cold": r.Cold, "stale": r.Stale}
+}
+
+// Difference is how a column of two sets of rows differs, over the plays of the same script, arm and seed.
+type Difference struct {
+	Script, Column string
+	Pairs          int
+	A, B           float64 // means
+	By, Around     float64 // mean of B - A, and half of its interval of 95%
+}
+
+// Compare pairs the rows of two sets by script and seed.
+func Compare(a, b []Row) (all []Difference) {
+	type key struct {
+		script string
+		seed   uint64
+	}
+	first := make(map[key]Row)
+	for _, r := range a {
+		first[key{r.Script, r.Seed}] = r
+	}
+	pairs, scripts := make(map[string][][2]Row), []string(nil)
+	for _, r := range b {
+		if o, known := first[key{r.Script, r.Seed}]; known {
+			if pairs[r.Script] == nil {
+				scripts = append(scripts, r.Script)
+			}
+			pairs[r.Script] = append(pairs[r.Script], [2]Row{o, r})
+		}
+	}
+	for _, script := range scripts {
+		var none Row
+		for _, column := range slices.Sorted(maps.Keys(none.numbers())) {
+			d := Difference{Script: script, Column: column, Pairs: len(pairs[script])}
+			var by []float64
+			for _, p := range pairs[script] {
+				x, y := p[0].numbers()[column], p[1].numbers()[column]
+				d.A, d.B, by = d.A+x/float64(d.Pairs), d.B+y/float64(d.Pairs), append(by, y-x)
+			}
+			d.By, d.Around = spread(by)
+			d.Around *= student(d.Pairs - 1)
+			all = append(all, d)
+		}
+	}
+	return all
+}
+
+// student is the factor of a standard error that gives an interval of 95% with so many degrees of freedom.
+func student(freedom int) float64 {
+	if freedom < 1 {
+		return math.Inf(1)
+	}
+	return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(freedom)}.Quantile(0.975)
 }
 
 // Summary is what one arm of one script came to over its seeds.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	play := func() []Row {
-		rows, err := Play(context.Background(), []string{script}, []Arm{base, heavy}, []uint64{1, 2}, func(int, int, Row) {})
+		rows, err := Play(context.Background(), How{}, []string{script}, []Arm{base, heavy}, []uint64{1, 2}, func(int, int, Row) {})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -49,7 +49,7 @@
 	if _, err := png.Decode(bytes.NewReader(picture)); err != nil {
 		t.Errorf("the chart: %v", err)
 	}
-	if left, _ := os.ReadDir(folder); len(left) != 3 {
+	if left, _ := os.ReadDir(folder); len(left) != 4 {
 		t.Errorf("the folder holds %d files", len(left))
 	}
 	var table bytes.Buffer
@@ -64,7 +64,7 @@
 	stop, end := context.WithCancel(context.Background())
 	seeds, _ := Seeds("1..40")
 	base, _ := ParseArm("base")
-	rows, err := Play(stop, []string{script}, []Arm{base}, seeds, func(done, _ int, _ Row) {
+	rows, err := Play(stop, How{}, []string{script}, []Arm{base}, seeds, func(done, _ int, _ Row) {
 		if done == 2 {
 			end()
 		}
@@ -102,3 +102,18 @@
 		}
 	}
 }
+
+// Two experiments are compared by the plays that they have in common, and in no others.
+func TestCompare(t *testing.T) {
+	a := []Row{{Script: "s", Seed: 1, Lost: 2}, {Script: "s", Seed: 2, Lost: 4}, {Script: "s", Seed: 3, Lost: 3}, {Script: "x", Seed: 1, Lost: 9}}
+	b := []Row{{Script: "s", Seed: 2, Lost: 3}, {Script: "s", Seed: 1, Lost: 1.5}, {Script: "s", Seed: 3, Lost: 1.5}, {Script: "y", Seed: 1}}
+	for _, d := range Compare(a, b) {
+		if d.Script != "s" || d.Pairs != 3 {
+			t.Errorf("%+v", d)
+		}
+		// Differences of -0.5, -1 and -1.5: a standard error of 0.5/sqrt(3), and 4.303 of them with two degrees of freedom.
+		if d.Column == "lost_s" && (d.A != 3 || d.By != -1 || d.Around < 1.240 || d.Around > 1.244) {
+			t.Errorf("%+v", d)
+		}
+	}
+}
