--- /dev/null
+++ b/internal/keep/store.go
@@ -0,0 +1,331 @@
+package keep
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Store is a folder with one snapshot and the log of what has changed since.
+type Store struct {
+	disk     Disk
+	owner    uint64
+	most     int // bytes of a state
+	sequence uint64
+	values   map[string][]byte
+	log      File
+	frames   int // of the log
+	logged   int // bytes of the log
+	saved    int // bytes of the snapshot
+}
+
+// Found is what a folder held.
+type Found struct {
+	Sequence uint64 // of the snapshot, 0: none
+	Values   int
+	Lost     []string // what could not be read, a line each; an older state stands for it
+}
+
+const leastLog = 64 << 10 // bytes of a log before it is worth another snapshot
+
+// Open takes a folder for its owner and reads the newest whole state. Where files are of a newer version or of another owner
+// nothing is touched. A state that takes more than most bytes is not kept.
+func Open(disk Disk, owner uint64, most int) (*Store, Found, error) {
+	if err := disk.Lock(); err != nil {
+		return nil, Found{}, err
+	}
+	s := &Store{disk: disk, owner: owner, most: most, values: make(map[string][]byte)}
+	found, err := s.recover()
+	if err != nil {
+		disk.Unlock()
+		return nil, found, err
+	}
+	return s, found, nil
+}
+
+// Look reads the newest whole state of a folder without taking it, whoever owns it, and tells who does. A driver that writes
+// meanwhile is not disturbed; what it has begun to write is not seen.
+func Look(disk Disk) (s *Store, owner uint64, found Found, err error) {
+	names, err := disk.List()
+	if err != nil {
+		return nil, 0, found, err
+	}
+	for _, name := range names {
+		if _, _, ok := parseName(name); ok {
+			if text, err := disk.Read(name); err == nil {
+				if h, _, err := readHead(text); err == nil {
+					owner = h.owner
+				}
+			}
+		}
+	}
+	s = &Store{disk: disk, owner: owner, values: make(map[string][]byte)}
+	found, err = s.recover()
+	return s, owner, found, err
+}
+
+// recover reads the newest snapshot that is whole, and its log as far as that is.
+func (s *Store) recover() (found Found, err error) {
+	names, err := s.disk.List()
+	if err != nil {
+		return found, err
+	}
+	files := make(map[uint16][]uint64)
+	for _, name := range names {
+		if kind, sequence, ok := parseName(name); ok {
+			files[kind] = append(files[kind], sequence)
+			s.sequence = max(s.sequence, sequence)
+		}
+	}
+	texts := make(map[string][]byte)
+	for _, name := range names {
+		if _, _, ok := parseName(name); !ok {
+			continue
+		}
+		text, err := s.disk.Read(name)
+		if err != nil {
+			return found, fmt.Errorf("%s: %w", name, err)
+		}
+		switch h, _, err := readHead(text); {
+		case errors.Is(err, ErrNewer):
+			return found, fmt.Errorf("%s: %w: version %d, this one reads up to %d", name, ErrNewer, h.version, version)
+		case err == nil && h.owner != s.owner:
+			return found, fmt.Errorf("%s: %w", name, ErrOwner)
+		}
+		texts[name] = text
+	}
+	slices.Sort(files[kindSnapshot])
+	slices.Reverse(files[kindSnapshot])
+	base := uint64(0)
+	for _, sequence := range files[kindSnapshot] {
+		name := snapshotName(sequence)
+		values, err := readSnapshot(texts[name], sequence)
+		if err == nil {
+			s.values, base, s.saved = values, sequence, len(texts[name])
+			break
+		}
+		found.Lost = append(found.Lost, fmt.Sprintf("%s: %v", name, err))
+	}
+	if text, there := texts[logName(base)]; base > 0 && there { // a log goes with its own snapshot only
+		if err := s.replay(text, base); err != nil {
+			found.Lost = append(found.Lost, fmt.Sprintf("%s: %v", logName(base), err))
+		}
+	}
+	found.Sequence, found.Values = base, len(s.values)
+	return found, nil
+}
+
+func readSnapshot(text []byte, sequence uint64) (map[string][]byte, error) {
+	h, rest, err := readHead(text)
+	if err != nil {
+		return nil, err
+	}
+	if h.kind != kindSnapshot || h.sequence != sequence {
+		return nil, errors.New("it is another file under this name")
+	}
+	values := make(map[string][]byte)
+	for index := 0; ; index++ {
+		body, next, err := nextFrame(rest, sequence, index)
+		if err != nil || body == nil {
+			return nil, errTorn
+		}
+		rest = next
+		ended := false
+		if err := eachChange(body, func(what byte, name string, value []byte) {
+			if ended = what == whatEnd; !ended {
+				values[name] = slices.Clone(value)
+			}
+		}); err != nil {
+			return nil, err
+		}
+		if ended && len(rest) == 0 {
+			return values, nil
+		} else if ended {
+			return nil, errTorn
+		}
+	}
+}
+
+// replay applies a log as far as it is whole.
+func (s *Store) replay(text []byte, sequence uint64) error {
+	h, rest, err := readHead(text)
+	if err != nil {
+		return err
+	}
+	if h.kind != kindLog || h.sequence != sequence {
+		return errors.New("it is another file under this name")
+	}
+	for index := 0; ; index++ {
+		body, next, err := nextFrame(rest, sequence, index)
+		if err != nil || body == nil {
+			return err
+		}
+		rest = next
+		if err := eachChange(body, s.apply); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Store) apply(what byte, name string, value []byte) {
+	if what == whatDelete {
+		delete(s.values, name)
+	} else {
+		s.values[name] = slices.Clone(value)
+	}
+}
+
+// Each gives all values, in the order of their names.
+func (s *Store) Each(call func(name string, value []byte)) {
+	for _, name := range slices.Sorted(maps.Keys(s.values)) {
+		call(name, s.values[name])
+	}
+}
+
+// ErrTooMuch tells that a state takes more than it may.
+var ErrTooMuch = errors.New("the state takes more than it may")
+
+// Commit brings changes to the disk, all of them or none. Where it fails the store goes on without them, though they may be found if
+// the machine goes down before the next Commit; and the log is not used again, as an error of a write or a sync tells nothing of what
+// came before it either. The next Commit begins with a snapshot.
+func (s *Store) Commit(changes []Change) error {
+	body := []byte(nil)
+	for _, c := range changes {
+		if len(c.Name) == 0 || len(c.Name) > mostName {
+			return fmt.Errorf("%d bytes are no length of a name", len(c.Name))
+		}
+		body = appendChange(body, c)
+	}
+	if len(body) > mostFrame {
+		return ErrTooMuch
+	}
+	undo := s.change(changes)
+	if s.log == nil || s.logged > max(s.saved, leastLog) {
+		if err := s.snapshot(); err != nil {
+			s.change(undo)
+			return err
+		}
+		return nil
+	}
+	frame := appendFrame(nil, s.sequence, s.frames, body)
+	_, err := s.log.Write(frame)
+	if err == nil {
+		err = s.log.Sync()
+	}
+	if err != nil {
+		s.drop()
+		s.change(undo)
+		return err
+	}
+	s.frames++
+	s.logged += len(frame)
+	return nil
+}
+
+// change applies changes, and gives what takes them back.
+func (s *Store) change(changes []Change) (undo []Change) {
+	for _, c := range changes {
+		undo = append(undo, Change{c.Name, s.values[c.Name]})
+		if c.Value == nil {
+			delete(s.values, c.Name)
+		} else {
+			s.values[c.Name] = slices.Clone(c.Value)
+		}
+	}
+	slices.Reverse(undo)
+	return undo
+}
+
+func (s *Store) drop() {
+	if s.log != nil {
+		s.log.Close()
+		s.log = nil
+	}
+}
+
+// snapshot writes the whole state under a new sequence, and takes away what is older.
+func (s *Store) snapshot() error {
+	s.drop()
+	next := s.sequence + 1
+	text := head{version, kindSnapshot, next, s.owner}.append(nil)
+	index, body := 0, []byte(nil)
+	flush := func() {
+		if len(body) > 0 {
+			text = appendFrame(text, next, index, body)
+			index++
+			body = body[:0]
+		}
+	}
+	s.Each(func(name string, value []byte) {
+		if body = appendChange(body, Change{name, value}); len(body) > leastLog {
+			flush()
+		}
+	})
+	flush()
+	end := binary.LittleEndian.AppendUint64(nil, uint64(index))
+	body = appendChange(body, Change{Value: end})
+	body[0] = whatEnd
+	flush()
+	if len(text) > s.most {
+		return fmt.Errorf("%w: %d bytes of %d", ErrTooMuch, len(text), s.most)
+	}
+	s.sequence = next // whatever comes of it, the name is not used again
+	name := snapshotName(next)
+	if err := s.write(name+unfinished, text); err != nil {
+		return err
+	}
+	if err := s.disk.Rename(name+unfinished, name); err != nil {
+		return err
+	}
+	log, err := s.disk.Create(logName(next))
+	if err != nil {
+		return err
+	}
+	if _, err = log.Write(head{version, kindLog, next, s.owner}.append(nil)); err == nil {
+		err = log.Sync()
+	}
+	if err == nil {
+		err = s.disk.Sync()
+	}
+	if err != nil {
+		log.Close()
+		return err
+	}
+	s.log, s.frames, s.logged, s.saved = log, 0, headSize, len(text)
+	s.tidy(next)
+	return nil
+}
+
+func (s *Store) write(name string, text []byte) error {
+	f, err := s.disk.Create(name)
+	if err != nil {
+		return err
+	}
+	if _, err = f.Write(text); err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+// tidy takes away what is older than the snapshot before the newest: should the newest turn out spoilt, that one is there. What
+// cannot be taken away now is so by the next.
+func (s *Store) tidy(sequence uint64) {
+	names, _ := s.disk.List()
+	for _, name := range names {
+		if _, n, ok := parseName(strings.TrimSuffix(name, unfinished)); ok && (n+1 < sequence || strings.HasSuffix(name, unfinished)) {
+			s.disk.Remove(name)
+		}
+	}
+}
+
+// Size tells how many bytes the snapshot and the log take.
+func (s *Store) Size() int { return s.saved + s.logged }
+
+// Close lets the folder go.
+func (s *Store) Close() {
+	s.drop()
+	s.disk.Unlock()
+}
