--- /dev/null
+++ b/cmd/passtack/state_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/keep"
+	"passtack/internal/state"
+)
+
+// What a folder holds is shown while its driver has it, and what is spoilt in it is named.
+func TestStateIsShownAndVerified(t *testing.T) {
+	path := t.TempDir()
+	s, _, err := state.Open(path, "n0", 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := state.NewSaver(s, time.Second, 0)
+	changes := v.Collect(time.Hour, func(member func(string, driver.Known), session func(driver.Session, time.Duration)) {
+		member("s-1", driver.Known{Position: time.Hour, Replica: driver.LongAgo, Timed: time.Hour, Ratio: 1.25})
+		session(7, time.Hour)
+	})
+	if err := s.Commit(changes); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Commit([]keep.Change{{Name: "member/s-1"}}); err != nil {
+		t.Fatal(err)
+	}
+	if out, ok := passtack(t, "state", "verify", path); !ok || !strings.Contains(out, "snapshot=1 values=2 members=0 sessions=1 saved=1970-01-01T01:00:00Z") {
+		t.Errorf("verify: %s", out)
+	}
+	s.Close()
+	logs, _ := filepath.Glob(filepath.Join(path, "log-*"))
+	text, _ := os.ReadFile(logs[0])
+	os.WriteFile(logs[0], text[:len(text)-1], 0o600)
+	if out, ok := passtack(t, "state", "verify", path); ok || !strings.Contains(out, filepath.Base(logs[0])) {
+		t.Errorf("verify of a torn log: %s", out)
+	}
+	if out, ok := passtack(t, "state", "show", path); !ok || !strings.Contains(out, "s-1") || !strings.Contains(out, "never") || !strings.Contains(out, "1.25") {
+		t.Errorf("show: %s", out)
+	}
+	if out, ok := passtack(t, "state", "show", "--json", path); !ok || !strings.Contains(out, `"Ratio": 1.25`) {
+		t.Errorf("show as JSON: %s", out)
+	}
+}
--- a/deploy/passtack.hcl
+++ b/deploy/passtack.hcl
@@ -69,3 +69,10 @@
     }
   }
 }
+
+# What a driver has learned outlasts it here. One folder for each driver, which is there and its own (docs/state.md).
+state {
+  folder  = "/var/lib/passtack/n0"
+  every   = "1s"
+  most_kb = 32768
+}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -64,6 +64,14 @@
 	NoList // a call failed or the watch broke; nothing is listed
 )
 
+// Known is what is known of a member and may outlast a driver. Times are as Host.Now gives them.
+type Known struct {
+	Position time.Duration // of its log, as it was told
+	Replica  time.Duration // when it last proved to be a replica
+	Timed    time.Duration // when its latencies were last seen
+	Ratio    float64       // they against the usual
+}
+
 // Host is what the module acts through. Times are spans since the count of log positions started, so
 // that a position and a time compare.
 type Host interface {
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -128,6 +128,9 @@
 	if !same || len(wants.Forms) != len(n.wants.Forms) {
 		restart = append(restart, "fronts or members")
 	}
+	if (wants.State == nil) != (n.wants.State == nil) || wants.State != nil && *wants.State != *n.wants.State {
+		restart = append(restart, "state")
+	}
 	for _, f := range wants.Fronts {
 		i := slices.IndexFunc(n.wants.Fronts, func(o *operator.Front) bool {
 			return o.Name == f.Name && o.Protocol == f.Protocol && o.Listen == f.Listen
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	pools   [driver.Forms]*member.Pool
 	opens   comeback.Opens
 	back    *comeback.Return
+	learned *learned // nil: nothing is kept
 	list    *list.Discovery
 	peers   *peers.Peers
 	rpcs    slots.Table[*rpc]
@@ -118,6 +119,7 @@
 	if n.fault != nil {
 		return nil, n.fault
 	}
+	n.recall()
 	if len(site.Known) > 0 {
 		if err := n.list.Know(site.Known); err != nil {
 			slog.Warn("known_list_unusable", "cause", err)
@@ -212,6 +214,7 @@
 			n.loop.Ring()
 		}
 	}()
+	defer n.work(heard)()
 	slog.Info("started", "name", n.site.Name, "listen", n.site.Listen, "discovery", n.site.Discovery)
 	err := n.loop.Run(func() {
 		for {
@@ -446,6 +449,7 @@
 		m = n.last
 		n.numbers[uid], n.uids[m] = m, uid
 		slog.Info("member_listed", "member", fmt.Sprintf("%012x", uint64(m)), "uid", uid, "endpoint", at, "group", group)
+		defer func() { n.recallMember(m, uid) }()
 	}
 	if at.IsValid() {
 		n.place(m, group, at)
--- /dev/null
+++ b/internal/node/state_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"passtack/internal/keep"
+	"passtack/internal/state"
+)
+
+// What a driver learned is in its folder once it has ended, and its next life has it; meanwhile no other may use the folder.
+func TestWhatWasLearnedOutlastsTheDriver(t *testing.T) {
+	folder := t.TempDir()
+	m := startMember(t, leader)
+	next := func() *Node {
+		return buildWith(t, "", 100, listOf(1, true, target(0, 0, m.listener.Addr(), "in_service")), settings, func(string) string {
+			return fmt.Sprintf("state {\n  folder = %q\n  every = \"100ms\"\n}\n", folder)
+		})
+	}
+	first := next()
+	if first.learned == nil || first.learned.recalled.Saved != 0 {
+		t.Fatalf("an empty folder gives %+v", first.learned)
+	}
+	if second := next(); second.learned != nil || second.counts["state_unusable"] != 1 {
+		t.Error("two drivers hold one folder")
+	}
+	d := run(t, first)
+	if a := dial(t, d.at).ask(t, statement("x1", "order", 1900, 0)); !strings.HasPrefix(a, "ok") {
+		t.Fatalf("it is answered by %s", a)
+	}
+	d.stop()
+	look, err := keep.OpenFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, owner, found, err := keep.Look(look)
+	if err != nil || owner != state.Owner("n0") || len(found.Lost) > 0 {
+		t.Fatalf("owner %x, %+v, %v", owner, found, err)
+	}
+	k := state.Read(s).Members["s-0"]
+	if k.Position == 0 || k.Timed == 0 {
+		t.Errorf("kept of the member: %+v", k)
+	}
+	again := next()
+	if again.learned == nil || again.learned.recalled.Saved == 0 || len(again.learned.recalled.Members) != 0 {
+		t.Errorf("the next life recalls %+v", again.learned)
+	}
+	run(t, again).stop()
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -58,8 +59,16 @@
 	Open   int
 }
 
+// State is where a driver keeps what it has learned.
+type State struct {
+	Folder string
+	Every  time.Duration // between two commits
+	Bytes  int           // that it may take
+}
+
 // File is what the operator wants.
 type File struct {
+	State  *State // nil: nothing is kept
 	Level  slog.Level
 	Sample int64
 	Fronts []*Front
@@ -209,7 +218,7 @@
 
 func (r *reader) file(body hcl.Body) *File {
 	f := &File{Forms: make(map[driver.Group]driver.Form), Root: "/"}
-	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
+	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "state"}, hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
 		hcl.BlockHeaderSchema{Type: "members", LabelNames: []string{"protocol"}})
 	if c == nil {
 		return f
@@ -225,6 +234,19 @@
 		}
 		f.Sample = int64(r.count(in, "sample", 0, 0, 1_000_000))
 	}
+	r.once(blocks["state"])
+	for _, b := range blocks["state"] {
+		in := r.content(b.Body, []string{"folder", "every", "most_kb"})
+		if in == nil {
+			continue
+		}
+		folder, at := r.words(in, "folder", "")
+		if !filepath.IsAbs(folder) {
+			r.wrong(at, "folder is no path from the root (%q)", folder)
+		}
+		f.State = &State{Folder: folder, Every: r.span(in, "every", time.Second, 100*time.Millisecond, time.Hour),
+			Bytes: r.count(in, "most_kb", 32<<10, 64, 1<<20) << 10}
+	}
 	for _, b := range blocks["members"] {
 		r.members(f, b)
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -36,6 +36,9 @@
 	if len(f.Fronts) != 2 || f.Fronts[0].Name != "portal" || f.Fronts[0].Share.Weight != 2 || f.Sample != 50 {
 		t.Fatalf("read as %+v", f)
 	}
+	if st := f.State; st == nil || st.Folder != "/var/lib/passtack/n0" || st.Every != time.Second || st.Bytes != 32<<20 {
+		t.Errorf("state is read as %+v", st)
+	}
 	o := f.Fronts[1]
 	s := o.OData.Model.Set("Applications")
 	if o.Share.Limits[share.RPCs] != 500 || o.OData.Repeats.Kept != 5*time.Minute || o.OData.HTTP.Body != 262144 || s.Page != 100 ||
@@ -59,6 +62,9 @@
 		{"weight = 2", "wieght = 2", `:11:3: unsupported argument`},
 		{"weight = 2", `weight = "two"`, `:11:12: weight is no number ("two")`},
 		{"weight = 2", `weight = 0`, `:11:12: weight is not from 0.01 to 1000 (0)`},
+		{`"/var/lib/passtack/n0"`, `"state"`, `folder is no path from the root ("state")`},
+		{`every   = "1s"`, `every   = "1ms"`, `every is no time from 100ms to 1h0m0s ("1ms")`},
+		{"most_kb = 32768", "most_kb = 1", `most_kb is not from 64 to 1.048576e+06 (1)`},
 		{"127.0.0.1:8080", "127.0.0.1:6543", `:15:15: listen is taken by the platform's listener ("127.0.0.1:6543")`},
 		{"127.0.0.1:8080", "0.0.0.0:6543", `listen is taken by the platform's listener ("0.0.0.0:6543")`},
 		{"127.0.0.1:8080", "nowhere", `listen is no address with a port ("nowhere")`},
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -895,3 +895,34 @@
 		r.dues.Push(r.host.Now()+wait, func() { r.host.Watch(true) })
 	}
 }
+
+// Learned gives what may outlast this driver.
+func (r *Router) Learned(each func(driver.Member, driver.Known), token func(driver.Session, time.Duration)) {
+	for _, m := range r.all {
+		each(m.id, driver.Known{Position: m.pos, Replica: m.replicaAt, Timed: m.timedAt, Ratio: m.ratio})
+	}
+	for who, at := range r.tokens {
+		token(who, at)
+	}
+}
+
+// Recall takes what an earlier life of this driver learned of a member until it was saved, unless that has
+// started since. None of it proves anything: who was a replica is asked last for the primary, who was primary
+// is asked first and alone as any scout is; positions only go forward; a latency fades by its age.
+func (r *Router) Recall(id driver.Member, k driver.Known, saved time.Duration) {
+	m, now := r.members[id], r.host.Now()
+	if m == nil || m.started >= saved || max(saved, k.Position, k.Replica, k.Timed) > now {
+		return
+	}
+	m.pos, m.replicaAt = max(m.pos, k.Position), max(m.replicaAt, k.Replica)
+	if m.heard == never {
+		m.ratio, m.timedAt = k.Ratio, k.Timed
+	}
+}
+
+// RecallToken takes the write of a session back into memory, for what is left of the time it is kept.
+func (r *Router) RecallToken(who driver.Session, commit time.Duration) {
+	if now := r.host.Now(); commit <= now && now-commit < kept {
+		r.remember(who, commit)
+	}
+}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -464,3 +464,60 @@
 		}
 	}
 }
+
+// What an earlier life learned orders whom the next one asks, and proves nothing: a recalled primary gets one RPC until it has answered,
+// also where another has taken over meanwhile. A start since, or a clock that went back, voids it.
+func TestWhatIsRecalledIsNoProof(t *testing.T) {
+	old := settled(t, "none")
+	learned := make(map[driver.Member]driver.Known)
+	old.r.Learned(func(m driver.Member, k driver.Known) { learned[m] = k }, func(driver.Session, time.Duration) {})
+	for _, moved := range []bool{false, true} {
+		w := newWorld(t, 2, "none")
+		w.now = old.now + time.Second
+		w.r.Wake()
+		w.nodes[104].started = w.now - 10*ms
+		w.list(driver.Changes, 104)
+		for m, k := range learned {
+			w.r.Recall(m, k, old.now)
+		}
+		if moved {
+			w.primary[0], w.primary[1] = 102, 103
+		}
+		for _, g := range w.r.groups {
+			if g.primary != nil {
+				t.Fatal("a recalled primary is taken for proven")
+			}
+		}
+		if m := w.r.members[104]; m.replicaAt != never || m.pos != never {
+			t.Error("what is recalled of a member that has started since is believed")
+		}
+		if m := w.r.members[106]; m.pos == never || m.replicaAt == never {
+			t.Error("what is recalled of a member that has not is lost")
+		}
+		first := make(map[int]driver.Member)
+		for range 12 {
+			id := w.take(4, 0)
+			q := w.rpcs[id]
+			if q.last >= 0 && first[q.group] != 0 {
+				t.Fatalf("a second write goes to %d before the scout to %d has answered", q.to, first[q.group])
+			} else if q.last >= 0 {
+				first[q.group] = q.to
+			}
+		}
+		if first[1] != 101 || first[0] != 100 && first[0] != 104 { // 104 has started since, so nothing is known of it
+			t.Errorf("the first writes go to %v", first)
+		}
+		w.traffic(100, 5*ms)
+	}
+	w := newWorld(t, 3, "none")
+	w.r.Recall(102, driver.Known{Position: w.now - ms, Replica: w.now - ms, Timed: w.now, Ratio: 2}, w.now+time.Hour)
+	if w.r.members[102].pos != never {
+		t.Error("what was saved after now is believed")
+	}
+	w.r.RecallToken(9, w.now-time.Second)
+	w.r.RecallToken(10, w.now+time.Second)
+	w.r.RecallToken(11, w.now-kept)
+	if len(w.r.tokens) != 1 || w.r.tokens[9] != w.now-time.Second {
+		t.Errorf("tokens recalled: %v", w.r.tokens)
+	}
+}
