--- a/internal/emu/play/play_test.go
+++ b/internal/emu/play/play_test.go
@@ -109,6 +109,8 @@
 		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"", `on is missing, or from and to`},
 		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"thin\" {\n  at = \"1s\"\n  on = [0]", `rate is missing or too small`},
 		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"partition\" {\n  at = \"1s\"\n  islands = [[\"d0\"]]", `islands is missing or too small`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"driver_kill\" {\n  at = \"1s\"\n  times = 3\n  every = \"500ms\"\n  on = [0]", `trouble 1: 3 times every 500ms, each for 1s, is no whole`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"driver_kill\" {\n  at = \"1s\"\n  folder = \"lost\"\n  on = [0]", `folder: "lost" is none of kept, emptied, older and flipped`},
 		{`members = 3`, "members = 3\n  older = [4]", `fleet older: there is no driver 4`},
 		{`rate = 10`, "rate = 10\n  route = \"away\"", `load route: "away" is none of fixed, stay and spread`},
 	} {
@@ -265,3 +267,35 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// Drivers keep what they learn and all are killed. Where other members are primary when they are back, no write goes to the former ones on
+// what is recalled alone but the scouts', one for each driver and group. Where it has not moved since, what was kept finds it at once.
+func TestNoWriteOnStaleBelief(t *testing.T) {
+	quiet()
+	play := func(folders bool, moves time.Duration) Return {
+		s, err := ReadScript("../../../deploy/drills/primary-moved.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Rate, s.Folders, s.SaveEvery = 300, folders, 200*time.Millisecond
+		s.Election.Notice, s.Election.Takeover = [2]time.Duration{300 * time.Millisecond, 300 * time.Millisecond}, [2]time.Duration{300 * time.Millisecond, 300 * time.Millisecond}
+		s.Troubles[0].Folder, s.Troubles[0].Lasts = keptFolder, 2*time.Second
+		s.Troubles[1].At, s.Troubles[1].Lasts = moves, 1500*time.Millisecond
+		r, err := Rehearse(s, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back := r.Returns()[0]
+		if len(r.Broken) > 0 || back.Whole < 0 || back.Whole > 2*time.Second {
+			t.Errorf("rules broken %d, service is whole after %v", len(r.Broken), back.Whole)
+		}
+		return back
+	}
+	if back := play(true, 4*time.Second); back.Stale > 10*2 {
+		t.Errorf("%.0f writes at former primaries by ten drivers in two groups", back.Stale)
+	}
+	with, without := play(true, 500*time.Millisecond), play(false, 500*time.Millisecond)
+	if t.Logf("%.0f writes at former primaries with folders, %.0f without", with.Stale, without.Stale); with.Stale > 2 || without.Stale < 5 {
+		t.Error("what was kept does not find the primary")
+	}
+}
--- a/internal/emu/play/rehearse.go
+++ b/internal/emu/play/rehearse.go
@@ -1,9 +1,11 @@
 package play
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,6 +16,7 @@
 	"passtack/internal/loop"
 	"passtack/internal/loop/sim"
 	"passtack/internal/node"
+	"passtack/internal/operator"
 )
 
 func logOf(x float64) float64 { return math.Log(max(x, 1e-12)) }
@@ -40,12 +43,25 @@
 	clients *Clients
 	falls   Falls
 	starts  uint64
+	folders *Folders
+	nodes   []*node.Node
 	fault   error
 }
 
 // Rehearse plays the script in simulated time.
 func Rehearse(s *Script, seed uint64) (*Result, error) {
 	st := &stage{script: s, seed: seed, world: sim.New(seed, epoch), record: emu.NewRecord(emu.Allowed{Grace: s.Grace, Slack: 100 * time.Millisecond})}
+	if s.Folders {
+		root, err := os.MkdirTemp("", "rehearsal")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(root)
+		if st.folders, err = NewFolders(root, s.Drivers, seed+4); err != nil {
+			return nil, err
+		}
+	}
+	st.nodes = make([]*node.Node, s.Drivers)
 	for i := range s.Drivers {
 		st.drivers = append(st.drivers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 6543))
 		st.agents = append(st.agents, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 8500))
@@ -126,10 +142,15 @@
 		site.PeerListen, site.PeerAll, site.Peers = st.talk[i], everyPeer, st.talk
 	}
 	wants, err := site.Wants()
+	if err == nil && st.folders != nil {
+		wants.State = &operator.State{Folder: st.folders.Path(i), Every: st.script.SaveEvery, Bytes: 32 << 20}
+		err = st.folders.Starts(i)
+	}
 	if err != nil {
 		return err
 	}
 	n, err := node.On(l, site, wants)
+	st.nodes[i] = n
 	if err == nil && st.clients != nil {
 		st.follow(i, l, n, n.Comeback())
 	}
@@ -238,8 +259,13 @@
 			}
 			st.clients.Died(n)
 			st.hosts[n].Kill()
+			st.nodes[n].LetGo()
 			st.world.At(back, func() {
-				if err := st.drive(n); err != nil {
+				err := error(nil)
+				if st.folders != nil {
+					err = st.folders.Treat(n, t.Folder)
+				}
+				if err = errors.Join(err, st.drive(n)); err != nil {
 					st.fault = err
 				}
 				st.falls.Back(n, back-epoch)
--- a/internal/emu/play/result.go
+++ b/internal/emu/play/result.go
@@ -124,9 +124,13 @@
 	for _, name := range []string{emu.OK, emu.PushedBack, emu.Aborted, emu.Nothing, emu.NotTaken} {
 		fmt.Fprintf(out, "tries_%s=%d\n", strings.ReplaceAll(name, " ", "_"), r.Answers[name])
 	}
-	for _, back := range r.Returns() {
+	returns := r.Returns()
+	for _, back := range returns[:min(len(returns), 10)] {
 		back.print(out)
 	}
+	if more := len(returns) - 10; more > 0 {
+		fmt.Fprintf(out, "return: and %d more\n", more)
+	}
 	for _, b := range r.Broken[:min(len(r.Broken), 20)] {
 		fmt.Fprintln(out, "broken", b)
 	}
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -37,6 +37,7 @@
 	On     []int // which members or drivers
 	Times  float64
 	Within time.Duration // drivers that were ended start again within this, one after the other
+	Folder string        // how they find what they have kept: kept, emptied, older or flipped
 
 	From, To   []string   // places between which a link is troubled
 	OneWay     bool       // only from the first to the second
@@ -55,9 +56,11 @@
 	Build           emu.Build
 	Election        emu.Election
 	ListDelay       time.Duration
-	Peers           bool   // drivers may talk with each other
-	Operator        string // the operator's own file of every driver, "": none
-	Older           []int  // drivers that an older program is started for, where drivers are processes
+	Peers           bool          // drivers may talk with each other
+	Operator        string        // the operator's own file of every driver, "": none
+	Folders         bool          // drivers keep what they learn
+	SaveEvery       time.Duration // and write it so often
+	Older           []int         // drivers that an older program is started for, where drivers are processes
 	Methods         []*Method
 	Rate            float64 // RPCs a second
 	Surges          []Surge
@@ -94,7 +97,7 @@
 var kinds = map[string]kind{
 	"pause": {"member", "part"}, "kill": {"member", "part"}, "drain": {"member", ""},
 	"slow": {"member", "times"}, "theft": {"member", "times"}, "lag": {"member", "times"},
-	"driver_kill": {"driver", "within part"}, "driver_stop": {"driver", "within part"}, "driver_pause": {"driver", "part"},
+	"driver_kill": {"driver", "within part folder times every"}, "driver_stop": {"driver", "within part folder"}, "driver_pause": {"driver", "part"},
 	"discovery": {"agent", ""}, "discovery_old": {"none", ""},
 	"cut": {"link", "every one_way"}, "refuse": {"link", "every"}, "reset": {"link", ""},
 	"loss": {"link", "times every one_way"}, "delay": {"link", "by jitter every one_way"},
@@ -119,6 +122,8 @@
 		Peers     bool   `hcl:"peers,optional"`
 		Operator  string `hcl:"operator,optional"`
 		Older     []int  `hcl:"older,optional"`
+		Folders   bool   `hcl:"folders,optional"`
+		SaveEvery string `hcl:"save_every,optional"`
 		Notice    string `hcl:"notice,optional"`
 		Takeover  string `hcl:"takeover,optional"`
 	} `hcl:"fleet,block"`
@@ -156,6 +161,7 @@
 		Times   float64    `hcl:"times,optional"`
 		Within  string     `hcl:"within,optional"`
 		Part    float64    `hcl:"part,optional"`
+		Folder  string     `hcl:"folder,optional"`
 		From    []string   `hcl:"from,optional"`
 		To      []string   `hcl:"to,optional"`
 		OneWay  bool       `hcl:"one_way,optional"`
@@ -303,6 +309,7 @@
 	if !strings.Contains(" fixed stay spread ", " "+s.Route+" ") {
 		wrong("load route", "%q is none of fixed, stay and spread", s.Route)
 	}
+	s.Folders, s.SaveEvery = f.Folders, span("fleet save_every", f.SaveEvery, 500*time.Millisecond)
 	if s.Peers, s.Older = f.Peers, f.Older; f.Operator != "" {
 		s.Operator = filepath.Join(filepath.Dir(name), f.Operator)
 	}
@@ -356,8 +363,21 @@
 		}
 		s.Surges = append(s.Surges, surge)
 	}
-	for i := range t.Troubles {
-		s.Troubles = append(s.Troubles, t.trouble(s, i, span, wrong))
+	for i, x := range t.Troubles {
+		r := t.trouble(s, i, span, wrong)
+		s.Troubles = append(s.Troubles, r)
+		if about := kinds[r.Kind].about; about != "driver" || x.Times == 0 {
+			continue
+		}
+		if r.Every <= r.Lasts || x.Times != float64(int(x.Times)) || x.Times < 1 || r.At+time.Duration(x.Times)*r.Every > s.Lasts {
+			wrong(fmt.Sprintf("trouble %d", i+1), "%v times every %v, each for %v, is no whole number, overlaps itself or ends after the script", x.Times, r.Every, r.Lasts)
+			continue
+		}
+		for n := 1; n < int(x.Times); n++ {
+			again := r
+			again.At += time.Duration(n) * r.Every
+			s.Troubles = append(s.Troubles, again)
+		}
 	}
 	for _, e := range t.Expect {
 		s.LeastOK = e.OK
@@ -382,7 +402,7 @@
 	}
 	has := func(name string) bool { return slices.Contains(strings.Fields(k.has), name) }
 	for name, given := range map[string]bool{"times": x.Times != 0, "within": x.Within != "", "one_way": x.OneWay, "islands": x.Islands != nil,
-		"part": x.Part != 0, "every": x.Every != "", "by": x.By != "", "jitter": x.Jitter != "", "rate": x.Rate != 0} {
+		"part": x.Part != 0, "folder": x.Folder != "", "every": x.Every != "", "by": x.By != "", "jitter": x.Jitter != "", "rate": x.Rate != 0} {
 		if given && !has(name) {
 			wrong(at+" "+name, "%s has no use for it", x.Kind)
 		}
@@ -410,6 +430,9 @@
 	if k.about == "none" && len(x.On) > 0 {
 		wrong(at+" on", "%s has no use for it", x.Kind)
 	}
+	if r.Folder = x.Folder; r.Folder != "" && !slices.Contains([]string{keptFolder, emptiedFolder, olderFolder, flippedFolder}, r.Folder) {
+		wrong(at+" folder", "%q is none of kept, emptied, older and flipped", r.Folder)
+	}
 	if x.Part < 0 || x.Part > 1 || x.Part > 0 && len(x.On) > 0 {
 		wrong(at+" part", "%v is not from 0 to 1, or on is given too", x.Part)
 	}
--- a/internal/emu/rig/rig.go
+++ b/internal/emu/rig/rig.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -70,6 +71,7 @@
 	readers  sync.WaitGroup // of the drivers' logs
 	began    time.Duration  // of the script; 0: not yet
 	starts   uint64
+	folders  *play.Folders
 	fault    error
 }
 
@@ -89,6 +91,11 @@
 		return nil, err
 	}
 	defer os.RemoveAll(f.folder)
+	if s.Folders {
+		if f.folders, err = play.NewFolders(f.folder, s.Drivers, seed+4); err != nil {
+			return nil, err
+		}
+	}
 	lots, err := claim()
 	if err != nil {
 		return nil, err
@@ -241,7 +248,18 @@
 		return err
 	}
 	args := []string{"serve", "--site", at}
-	if f.script.Operator != "" {
+	switch {
+	case f.folders != nil:
+		text, err := f.folders.Operator(f.script, d.number)
+		wants := filepath.Join(f.folder, d.name+".hcl")
+		if err = errors.Join(err, f.folders.Starts(d.number)); err == nil {
+			err = os.WriteFile(wants, text, 0o600)
+		}
+		if err != nil {
+			return err
+		}
+		args = append(args, "--operator", wants)
+	case f.script.Operator != "":
 		args = append(args, "--operator", f.script.Operator)
 	}
 	c := exec.Command(d.program, args...)
@@ -320,6 +338,9 @@
 	if strings.Contains(s.line, "level=ERROR") {
 		f.fail("driver %s: %s", d.name, s.line)
 	}
+	if strings.HasPrefix(event, "state_") && f.began > 0 {
+		f.note(d, "%s members=%s lost=%s%s", event, field(s.line, "members"), field(s.line, "lost"), field(s.line, "cause"))
+	}
 	if event == "comeback" && f.began > 0 {
 		f.note(d, "is %s", field(s.line, "stage"))
 		f.falls.Reached(d.number, field(s.line, "stage"), f.loop.Now()-f.began)
@@ -386,7 +407,7 @@
 	switch t.Kind {
 	case "driver_kill", "driver_stop", "driver_pause":
 		for place, n := range t.On {
-			f.strike(f.drivers[n], t.Kind, t.Back(place, until))
+			f.strike(f.drivers[n], t.Kind, t.Folder, t.Back(place, until))
 		}
 	default:
 		f.cluster.Trouble(t, until)
@@ -394,7 +415,7 @@
 }
 
 // strike ends or stops a driver, which goes on then. One that is down already stays so until the later time.
-func (f *fleet) strike(d *driver, how string, back time.Duration) {
+func (f *fleet) strike(d *driver, how, folder string, back time.Duration) {
 	now := f.loop.Now()
 	f.record.Down(d.name, now, back+time.Second) // it has to start
 	f.falls.Gone(d.number, now-f.began)
@@ -419,7 +440,7 @@
 	if how == "driver_kill" {
 		d.process.Process.Kill()
 		<-d.answered
-		f.again(d, back)
+		f.again(d, folder, back)
 		return
 	}
 	d.process.Process.Signal(syscall.SIGTERM)
@@ -434,7 +455,7 @@
 		select {
 		case <-ended:
 			f.note(d, "ended")
-			f.again(d, f.loop.Now()+lasts)
+			f.again(d, folder, f.loop.Now()+lasts)
 		default:
 			f.loop.At(f.loop.Now()+10*time.Millisecond, look)
 		}
@@ -443,10 +464,14 @@
 }
 
 // again starts a driver that has ended.
-func (f *fleet) again(d *driver, at time.Duration) {
+func (f *fleet) again(d *driver, folder string, at time.Duration) {
 	f.loop.At(at, func() {
 		f.note(d, "starts")
-		if err := f.start(d); err != nil {
+		err := error(nil)
+		if f.folders != nil {
+			err = f.folders.Treat(d.number, folder)
+		}
+		if err = errors.Join(err, f.start(d)); err != nil {
 			f.fail("driver %s: %w", d.name, err)
 		}
 	})
--- a/internal/emu/rig/rig_test.go
+++ b/internal/emu/rig/rig_test.go
@@ -99,6 +99,7 @@
 		"killed-twice":       {2 * time.Second, 60, 0},
 		"halves":             {6 * time.Second, 60, 20},
 		"stay":               {2 * time.Second, 60, 0},
+		"folders":            {2 * time.Second, 60, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -300,3 +301,34 @@
 		}
 	}
 }
+
+// A driver that saves all the time is killed again and again, at any point of saving. Each next start finds its folder free and whole: a newer
+// or an older state, never a torn one.
+func TestKilledWhileSaving(t *testing.T) {
+	t.Parallel()
+	const times = 25
+	kills := fmt.Sprintf("trouble \"driver_kill\" {\n  at = \"500ms\"\n  lasts = \"50ms\"\n  times = %d\n  every = \"331ms\"\n  on = [0]\n}\n", times)
+	text := strings.NewReplacer(`"3s"`, `"9s"`, "members = 3", "members = 3\n  folders = true\n  save_every = \"100ms\"").Replace(quick) + kills
+	s, err := play.ParseScript([]byte(text), "kills.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := playAbreast(s, 3, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recalled, lost := 0, 0
+	for _, m := range r.Course.Moments {
+		switch {
+		case strings.HasPrefix(m.What, "state_recalled members=3"):
+			recalled++
+		case strings.HasPrefix(m.What, "state_lost"):
+			lost++ // the end of a log, which the one before the last commit stands for
+		case strings.HasPrefix(m.What, "state_"):
+			t.Errorf("%v %s: %s", m.At, m.Who, m.What)
+		}
+	}
+	if recalled < times-2 || lost > times/2 || len(r.Broken) > 0 {
+		t.Errorf("%d of %d starts recalled their members, %d lost the end of a log; %v", recalled, times, lost, r.Broken)
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -210,6 +210,9 @@
 func (r *Row) fell(back play.Return) {
 	connects, lists := back.Load(emu.Connects), back.Load(emu.Lists)
 	r.Whole, r.Lost, r.Cold, r.Stale = back.Whole.Seconds(), back.Lost, back.Cold, back.Stale
+	if back.Whole < 0 {
+		r.Whole = -1
+	}
 	r.Connects, r.ConnectsUsual, r.Member, r.MemberUsual = connects.AllAfter, connects.AllBefore, connects.After, connects.Before
 	r.Lists, r.ListsUsual, r.Full = lists.AllAfter, lists.AllBefore, back.Load(emu.Fulls).AllAfter
 }
