--- a/internal/emu/play/play_test.go
+++ b/internal/emu/play/play_test.go
@@ -102,6 +102,8 @@
 		{`drivers = 1`, `driver = 1`, `x.hcl:3:3: Unsupported argument`},
 		{`share = 1`, ``, `Missing required argument`},
 		{`on = [0]`, `part = 1.5`, `x.hcl:18: trouble 1 part: 1.5 is not from 0 to 1`},
+		{`members = 3`, "members = 3\n  groups = -2", `fleet groups: -2 is not from 1 to 100`},
+		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"\n  every = \"1ns\"\n  on = [0]", `trouble 1 every: 1ns is under 10ms`},
 		{`on = [0]`, `rate = 5`, `x.hcl:18: trouble 1 rate: kill has no use for it`},
 		{`on = [0]`, `from = ["drivers"]`, `kill has no use for from and to`},
 		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"\n  from = [\"d0\"]\n  to = [\"m0..3\"]", `trouble 1 to: "m0..3" names places that there are not: the last is m2`},
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -215,7 +215,9 @@
 	if diagnostics.HasErrors() {
 		return nil, fmt.Errorf("%s", strings.Join(wrong.lines, "\n"))
 	}
-	t.Fleet.Groups = max(t.Fleet.Groups, 1)
+	if t.Fleet.Groups == 0 {
+		t.Fleet.Groups = 1
+	}
 	t.Fleet.Drivers, t.Fleet.Groups = t.Fleet.Drivers*times, t.Fleet.Groups*times
 	t.Load.Rate, t.Load.Sessions = t.Load.Rate*float64(times), t.Load.Sessions*times
 	lines := places(parsed.Body.(*hclsyntax.Body))
@@ -385,6 +387,9 @@
 	return s
 }
 
+// leastEvery is how quickly a trouble comes and goes at most: each time all links are looked at.
+const leastEvery = 10 * time.Millisecond
+
 // trouble reads one of the troubles. What its kind has no use for is a mistake, as is what it lacks.
 func (t *text) trouble(s *Script, i int, span func(path, value string, otherwise time.Duration) time.Duration,
 	wrong func(path, format string, args ...any)) Trouble {
@@ -400,6 +405,9 @@
 	if r.At > s.Lasts {
 		wrong(at+" at", "%v is after the end", r.At)
 	}
+	if r.Every != 0 && r.Every < leastEvery {
+		wrong(at+" every", "%v is under %v", r.Every, leastEvery)
+	}
 	has := func(name string) bool { return slices.Contains(strings.Fields(k.has), name) }
 	for name, given := range map[string]bool{"times": x.Times != 0, "within": x.Within != "", "one_way": x.OneWay, "islands": x.Islands != nil,
 		"part": x.Part != 0, "folder": x.Folder != "", "every": x.Every != "", "by": x.By != "", "jitter": x.Jitter != "", "rate": x.Rate != 0} {
