--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -2,31 +2,24 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"maps"
 	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
-	"slices"
 	"strings"
 	"syscall"
-	"text/tabwriter"
-	"time"
 
 	"github.com/alecthomas/kong"
 
 	"passtack/internal/emu/play"
 	"passtack/internal/emu/rig"
-	"passtack/internal/keep"
 	"passtack/internal/logs"
 	"passtack/internal/node"
 	"passtack/internal/operator"
-	"passtack/internal/state"
 )
 
 // place names the file that tells a driver what it needs to know at its start.
@@ -165,70 +158,6 @@
 	return play.Emulate(s, c.Seed, listen, c.Site, os.Stdout)
 }
 
-// stateShow prints what a driver keeps in its folder.
-type stateShow struct {
-	Folder string `arg:"" help:"The folder, as the operator's file names it." type:"existingdir"`
-	JSON   bool   `help:"As JSON."`
-}
-
-func (c *stateShow) Run() error {
-	r, found, err := lookAt(c.Folder)
-	if err != nil {
-		return err
-	}
-	if c.JSON {
-		out := json.NewEncoder(os.Stdout)
-		out.SetIndent("", " ")
-		return out.Encode(map[string]any{"saved": r.Saved, "members": r.Members, "sessions": r.Sessions, "lost": found.Lost})
-	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(w, "saved\t%s\n", when(r.Saved))
-	fmt.Fprintf(w, "member\tposition\treplica\tlatencies seen\tagainst the usual\n")
-	for _, uid := range slices.Sorted(maps.Keys(r.Members)) {
-		k := r.Members[uid]
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\n", uid, when(k.Position), when(k.Replica), when(k.Timed), k.Ratio)
-	}
-	fmt.Fprintf(w, "sessions\t%d\n", len(r.Sessions))
-	return w.Flush()
-}
-
-// when is a time of a driver, which counts from the start of Unix time.
-func when(t time.Duration) string {
-	if t <= 0 {
-		return "never"
-	}
-	return time.Unix(0, int64(t)).UTC().Format(time.RFC3339Nano)
-}
-
-func lookAt(path string) (*state.Recalled, keep.Found, error) {
-	folder, err := keep.OpenFolder(path)
-	if err != nil {
-		return nil, keep.Found{}, err
-	}
-	s, _, found, err := keep.Look(folder)
-	if err != nil {
-		return nil, found, err
-	}
-	return state.Read(s), found, nil
-}
-
-// stateVerify reads a folder as a driver would.
-type stateVerify struct {
-	Folder string `arg:"" help:"The folder, as the operator's file names it." type:"existingdir"`
-}
-
-func (c *stateVerify) Run() error {
-	r, found, err := lookAt(c.Folder)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("snapshot=%d values=%d members=%d sessions=%d saved=%s\n", found.Sequence, found.Values, len(r.Members), len(r.Sessions), when(r.Saved))
-	if len(found.Lost) > 0 {
-		return errors.New(strings.Join(found.Lost, "\n"))
-	}
-	return nil
-}
-
 type version struct{}
 
 func (version) Run() error {
@@ -256,7 +185,10 @@
 		State    struct {
 			Show   stateShow   `cmd:"" help:"Print what a driver keeps, also while it runs."`
 			Verify stateVerify `cmd:"" help:"Read a folder as a driver would; what cannot be read is named."`
+			Export stateExport `cmd:"" help:"Write members or sessions of a folder as CSV."`
+			Prune  statePrune  `cmd:"" help:"Take out of a folder what is old, while no driver holds it."`
 		} `cmd:"" help:"Look at the folder where a driver keeps what it has learned."`
+		Status  status  `cmd:"" help:"Ask a running driver how it is and what its background work does."`
 		Version version `cmd:"" help:"Print what this program was built from."`
 	}
 	c := kong.Parse(&command, kong.Name("passtack"), kong.Description("A read/write splitter for database clusters."))
--- /dev/null
+++ b/cmd/passtack/state.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"passtack/internal/keep"
+	"passtack/internal/state"
+)
+
+// stateShow prints what a driver keeps in its folder.
+type stateShow struct {
+	Folder string `arg:"" help:"The folder, as the operator's file names it." type:"existingdir"`
+	JSON   bool   `help:"As JSON."`
+}
+
+func (c *stateShow) Run() error {
+	r, _, found, err := lookAt(c.Folder)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		out := json.NewEncoder(os.Stdout)
+		out.SetIndent("", " ")
+		return out.Encode(map[string]any{"saved": r.Saved, "members": r.Members, "sessions": r.Sessions, "list": json.RawMessage(r.List()),
+			"repeats": counts(r.Repeats), "lost": found.Lost})
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "saved\t%s\n", when(r.Saved))
+	fmt.Fprintf(w, "member\tposition\treplica\tlatencies seen\tagainst the usual\n")
+	for _, uid := range slices.Sorted(maps.Keys(r.Members)) {
+		k := r.Members[uid]
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\n", uid, when(k.Position), when(k.Replica), when(k.Timed), k.Ratio)
+	}
+	fmt.Fprintf(w, "sessions\t%d\n", len(r.Sessions))
+	fmt.Fprintf(w, "list\trevision %d, %d entries\n", r.Listed.Rev, len(r.Entries))
+	for _, front := range slices.Sorted(maps.Keys(r.Repeats)) {
+		fmt.Fprintf(w, "repeats of %s\t%d\n", front, len(r.Repeats[front]))
+	}
+	return w.Flush()
+}
+
+func counts(repeats map[string][][]byte) map[string]int {
+	all := make(map[string]int)
+	for front, entries := range repeats {
+		all[front] = len(entries)
+	}
+	return all
+}
+
+// when is a time of a driver, which counts from the start of Unix time.
+func when(t time.Duration) string {
+	if t <= 0 {
+		return "never"
+	}
+	return time.Unix(0, int64(t)).UTC().Format(time.RFC3339Nano)
+}
+
+func lookAt(path string) (*state.Recalled, uint64, keep.Found, error) {
+	folder, err := keep.OpenFolder(path)
+	if err != nil {
+		return nil, 0, keep.Found{}, err
+	}
+	s, owner, found, err := keep.Look(folder)
+	if err != nil {
+		return nil, 0, found, err
+	}
+	return state.Read(s), owner, found, nil
+}
+
+// stateVerify reads a folder as a driver would.
+type stateVerify struct {
+	Folder string `arg:"" help:"The folder, as the operator's file names it." type:"existingdir"`
+}
+
+func (c *stateVerify) Run() error {
+	r, _, found, err := lookAt(c.Folder)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("snapshot=%d values=%d members=%d sessions=%d listed=%d saved=%s\n", found.Sequence, found.Values, len(r.Members), len(r.Sessions), len(r.Entries), when(r.Saved))
+	if len(found.Lost) > 0 {
+		return errors.New(strings.Join(found.Lost, "\n"))
+	}
+	return nil
+}
+
+// stateExport writes what a folder holds as CSV.
+type stateExport struct {
+	Folder string `arg:"" help:"The folder, as the operator's file names it." type:"existingdir"`
+	Of     string `help:"What is written: members or sessions." enum:"members,sessions" default:"members"`
+}
+
+func (c *stateExport) Run() error {
+	r, _, _, err := lookAt(c.Folder)
+	if err != nil {
+		return err
+	}
+	out := csv.NewWriter(os.Stdout)
+	if c.Of == "sessions" {
+		out.Write([]string{"session", "commit_ns"})
+		for _, who := range slices.Sorted(maps.Keys(r.Sessions)) {
+			out.Write([]string{strconv.FormatUint(uint64(who), 16), strconv.FormatInt(int64(r.Sessions[who]), 10)})
+		}
+	} else {
+		out.Write([]string{"member", "position_ns", "replica_ns", "timed_ns", "ratio"})
+		for _, uid := range slices.Sorted(maps.Keys(r.Members)) {
+			k := r.Members[uid]
+			row := []string{uid}
+			for _, t := range []time.Duration{k.Position, k.Replica, k.Timed} {
+				row = append(row, strconv.FormatInt(max(int64(t), 0), 10))
+			}
+			out.Write(append(row, strconv.FormatFloat(k.Ratio, 'g', -1, 64)))
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
+
+// statePrune takes out what is old.
+type statePrune struct {
+	Folder string        `arg:"" help:"The folder, as the operator's file names it." type:"existingdir"`
+	Older  time.Duration `help:"What has not changed for so long goes." default:"24h"`
+}
+
+func (c *statePrune) Run() error {
+	_, owner, _, err := lookAt(c.Folder)
+	if err != nil {
+		return err
+	}
+	before, after, err := state.Prune(c.Folder, owner, c.Older, time.Duration(time.Now().UnixNano()), 1<<30)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("bytes_before=%d bytes_after=%d\n", before, after)
+	return nil
+}
--- a/cmd/passtack/state_test.go
+++ b/cmd/passtack/state_test.go
@@ -19,18 +19,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	v := state.NewSaver(s, time.Second, 0)
-	changes := v.Collect(time.Hour, func(member func(string, driver.Known), session func(driver.Session, time.Duration)) {
-		member("s-1", driver.Known{Position: time.Hour, Replica: driver.LongAgo, Timed: time.Hour, Ratio: 1.25})
-		session(7, time.Hour)
-	})
+	v := state.NewSaver(s, 1<<20)
+	v.Wrote(7, time.Hour)
+	v.List("s-9", []byte(`{"uid":"s-9"}`))
+	v.Of(state.Listed{Rev: 4})
+	v.Begin()
+	v.Member("s-1", driver.Known{Position: time.Hour, Replica: driver.LongAgo, Timed: time.Hour, Ratio: 1.25})
+	changes := v.Finish(time.Hour)
 	if err := s.Commit(changes); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.Commit([]keep.Change{{Name: "member/s-1"}}); err != nil {
 		t.Fatal(err)
 	}
-	if out, ok := passtack(t, "state", "verify", path); !ok || !strings.Contains(out, "snapshot=1 values=2 members=0 sessions=1 saved=1970-01-01T01:00:00Z") {
+	if out, ok := passtack(t, "state", "verify", path); !ok || !strings.Contains(out, "snapshot=1 values=4 members=0 sessions=1 listed=1 saved=1970-01-01T01:00:00Z") {
 		t.Errorf("verify: %s", out)
 	}
 	s.Close()
@@ -46,4 +48,16 @@
 	if out, ok := passtack(t, "state", "show", "--json", path); !ok || !strings.Contains(out, `"Ratio": 1.25`) {
 		t.Errorf("show as JSON: %s", out)
 	}
+	if out, ok := passtack(t, "state", "export", path); !ok || !strings.Contains(out, "s-1,3600000000000,0,3600000000000,1.25") {
+		t.Errorf("export: %s", out)
+	}
+	if out, ok := passtack(t, "state", "export", "--of", "sessions", path); !ok || !strings.Contains(out, "7,3600000000000") {
+		t.Errorf("export of sessions: %s", out)
+	}
+	if out, ok := passtack(t, "state", "prune", path); !ok || !strings.Contains(out, "bytes_after=") {
+		t.Errorf("prune: %s", out)
+	}
+	if out, ok := passtack(t, "state", "verify", path); !ok || !strings.Contains(out, "members=0 sessions=0 listed=1") {
+		t.Errorf("verify after all that is old was pruned: %s", out)
+	}
 }
--- /dev/null
+++ b/cmd/passtack/status.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"passtack/internal/control"
+	"passtack/internal/node"
+)
+
+// status asks a running driver.
+type status struct {
+	At   string `arg:"" help:"Its control address, as the operator's file names it."`
+	JSON bool   `help:"As JSON."`
+}
+
+func (c *status) Run() error {
+	var s node.Status
+	if err := control.Ask(c.At, "status", &s); err != nil {
+		return err
+	}
+	if c.JSON {
+		out := json.NewEncoder(os.Stdout)
+		out.SetIndent("", " ")
+		return out.Encode(s)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "driver\t%s\ncomeback\t%s\nready\t%.2f\n\n", s.Name, s.Comeback, s.Ready)
+	if len(s.Chores) > 0 {
+		fmt.Fprintln(w, "chore\tstate\tfor\truns\tfailed\tlate\tskipped\tspent\tlongest\tbytes\twhy")
+	}
+	for _, k := range s.Chores {
+		why := k.Why
+		if why == "" && k.Skips > 0 {
+			why = "skipped for " + k.Skipped
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.1fs\t%d\t%d\t%d\t%d\t%.1fms\t%.2fms\t%d\t%s\n", k.Name, k.State, float64(k.ForMS)/1000, k.Runs, k.Failed, k.Late, k.Skips,
+			k.SpentMS, k.LongestMS, k.Bytes, why)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Counters)) {
+		fmt.Fprintf(w, "%s\t%d\n", name, s.Counters[name])
+	}
+	return w.Flush()
+}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -82,7 +82,8 @@
 	Abort(rpc RPC)                            // final
 	Probe(m Member)
 	CloseIdle(m Member)
-	Forget(m Member) // nothing more is sent to it; listed again, it is another
+	Remembered(who Session, commit time.Duration) // the latest write of a session, which may outlast the driver
+	Forget(m Member)                              // nothing more is sent to it; listed again, it is another
 	Watch(on bool)
 	FetchList()
 	Tell(to Peer, text []byte)
--- a/internal/emu/play/flow.go
+++ b/internal/emu/play/flow.go
@@ -29,15 +29,15 @@
 	f.at(began, driver).got += utility
 }
 
-// every names no single driver.
-const every = -1
+// Every names no single driver.
+const Every = -1
 
 // Part is the utility got of what RPCs asked for that began from one time to another, of one driver or of all; 1 where
 // none began.
 func (f *Flow) Part(driver int, from, to time.Duration) float64 {
 	var sum share
 	for d, pieces := range f.drivers {
-		if driver != every && d != driver {
+		if driver != Every && d != driver {
 			continue
 		}
 		for n := max(int(from/piece), 0); n < min(int(to/piece), len(pieces)); n++ {
--- a/internal/emu/play/result.go
+++ b/internal/emu/play/result.go
@@ -195,13 +195,13 @@
 		if i > 0 && r.Falls[i-1].Up >= 0 {
 			from = max(from, r.Falls[i-1].Up)
 		}
-		back.Level = r.Flow.Part(every, from, f.At)
+		back.Level = r.Flow.Part(Every, from, f.At)
 		until := end
 		if i+1 < len(r.Falls) {
 			until = r.Falls[i+1].At
 		}
 		if f.Up >= 0 {
-			back.Whole = r.Flow.Whole(every, back.Level, f.Up, until)
+			back.Whole = r.Flow.Whole(Every, back.Level, f.Up, until)
 			var each []time.Duration
 			for _, d := range f.Drivers {
 				w := r.Flow.Whole(d, back.Level, f.Up, until)
@@ -223,7 +223,7 @@
 			stop = f.Up + back.Whole
 		}
 		for at := f.At; at+piece <= stop; at += piece {
-			back.Lost += max(0, 1-r.Flow.Part(every, at, at+piece)/max(back.Level, 1e-9)) * piece.Seconds()
+			back.Lost += max(0, 1-r.Flow.Part(Every, at, at+piece)/max(back.Level, 1e-9)) * piece.Seconds()
 		}
 		second := func(d time.Duration) int { return int(d / time.Second) }
 		first, fell, last := second(from+time.Second-1), second(f.At), second(stop+steady)+1
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -71,7 +71,8 @@
 	Notice          time.Duration // until who deals clients out notices that a driver is dead
 	Grace           time.Duration
 	Troubles        []Trouble
-	LeastOK         float64 // expected part of the RPCs that are ok
+	LeastOK         float64       // expected part of the RPCs that are ok
+	spared          time.Duration // when drivers would be back that do not end
 }
 
 // Surge is a time of another rate.
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -62,6 +62,9 @@
 	f.memory.Most, f.memory.Open = offer.Repeats.Bytes, offer.Repeats.Open
 }
 
+// Repeats gives what it remembers of repeatable requests.
+func (f *Front) Repeats() *repeat.Memory { return f.memory }
+
 // Room gives the room of its connections.
 func (f *Front) Room() *front.Room { return f.room }
 
--- a/internal/keep/store.go
+++ b/internal/keep/store.go
@@ -7,10 +7,13 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 )
 
-// Store is a folder with one snapshot and the log of what has changed since.
+// Store is a folder with one snapshot and the log of what has changed since. Commit, Compact and Close may come from several
+// goroutines; one after the other they wait for the disk.
 type Store struct {
+	mutex    sync.Mutex
 	disk     Disk
 	owner    uint64
 	most     int // bytes of a state
@@ -29,7 +32,10 @@
 	Lost     []string // what could not be read, a line each; an older state stands for it
 }
 
-const leastLog = 64 << 10 // bytes of a log before it is worth another snapshot
+const (
+	leastLog = 64 << 10 // bytes of a log before it is worth another snapshot
+	longest  = 4        // times that length, and a commit writes the snapshot itself
+)
 
 // Open takes a folder for its owner and reads the newest whole state. Where files are of a newer version or of another owner
 // nothing is touched. A state that takes more than most bytes is not kept.
@@ -190,8 +196,10 @@
 
 // Commit brings changes to the disk, all of them or none. Where it fails the store goes on without them, though they may be found if
 // the machine goes down before the next Commit; and the log is not used again, as an error of a write or a sync tells nothing of what
-// came before it either. The next Commit begins with a snapshot.
+// came before it either. The next Commit begins with a snapshot. The store keeps the values as they are: nobody may change them.
 func (s *Store) Commit(changes []Change) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	body := []byte(nil)
 	for _, c := range changes {
 		if len(c.Name) == 0 || len(c.Name) > mostName {
@@ -203,7 +211,7 @@
 		return ErrTooMuch
 	}
 	undo := s.change(changes)
-	if s.log == nil || s.logged > max(s.saved, leastLog) {
+	if s.log == nil || s.logged > longest*max(s.saved, leastLog) {
 		if err := s.snapshot(); err != nil {
 			s.change(undo)
 			return err
@@ -232,7 +240,7 @@
 		if c.Value == nil {
 			delete(s.values, c.Name)
 		} else {
-			s.values[c.Name] = slices.Clone(c.Value)
+			s.values[c.Name] = c.Value
 		}
 	}
 	slices.Reverse(undo)
@@ -246,35 +254,28 @@
 	}
 }
 
+// Worth tells whether the log has grown so long that a snapshot in its place is worth its writing.
+func (s *Store) Worth() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.log != nil && s.logged > max(s.saved, leastLog)
+}
+
+// Compact writes a snapshot in place of the log.
+func (s *Store) Compact() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.snapshot()
+}
+
 // snapshot writes the whole state under a new sequence, and takes away what is older.
 func (s *Store) snapshot() error {
 	s.drop()
 	next := s.sequence + 1
-	text := head{version, kindSnapshot, next, s.owner}.append(nil)
-	index, body := 0, []byte(nil)
-	flush := func() {
-		if len(body) > 0 {
-			text = appendFrame(text, next, index, body)
-			index++
-			body = body[:0]
-		}
-	}
-	s.Each(func(name string, value []byte) {
-		if body = appendChange(body, Change{name, value}); len(body) > leastLog {
-			flush()
-		}
-	})
-	flush()
-	end := binary.LittleEndian.AppendUint64(nil, uint64(index))
-	body = appendChange(body, Change{Value: end})
-	body[0] = whatEnd
-	flush()
-	if len(text) > s.most {
-		return fmt.Errorf("%w: %d bytes of %d", ErrTooMuch, len(text), s.most)
-	}
 	s.sequence = next // whatever comes of it, the name is not used again
 	name := snapshotName(next)
-	if err := s.write(name+unfinished, text); err != nil {
+	saved, err := s.write(name+unfinished, next)
+	if err != nil {
 		return err
 	}
 	if err := s.disk.Rename(name+unfinished, name); err != nil {
@@ -294,20 +295,47 @@
 		log.Close()
 		return err
 	}
-	s.log, s.frames, s.logged, s.saved = log, 0, headSize, len(text)
+	s.log, s.frames, s.logged, s.saved = log, 0, headSize, saved
 	s.tidy(next)
 	return nil
 }
 
-func (s *Store) write(name string, text []byte) error {
+// write brings the whole state to a file, a frame after the other, and tells how long it is.
+func (s *Store) write(name string, sequence uint64) (size int, err error) {
 	f, err := s.disk.Create(name)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	index, body := 0, []byte(nil)
+	put := func(text []byte) {
+		if size += len(text); err == nil && size > s.most {
+			err = fmt.Errorf("%w: over %d bytes", ErrTooMuch, s.most)
+		} else if err == nil {
+			_, err = f.Write(text)
+		}
+	}
+	flush := func() {
+		if len(body) > 0 {
+			put(appendFrame(nil, sequence, index, body))
+			index, body = index+1, body[:0]
+		}
 	}
-	if _, err = f.Write(text); err == nil {
+	put(head{version, kindSnapshot, sequence, s.owner}.append(nil))
+	s.Each(func(name string, value []byte) {
+		if body = appendChange(body, Change{name, value}); len(body) > leastLog {
+			flush()
+		}
+	})
+	flush()
+	body = appendChange(body, Change{Value: binary.LittleEndian.AppendUint64(nil, uint64(index))})
+	body[0] = whatEnd
+	if flush(); err == nil {
 		err = f.Sync()
 	}
-	return errors.Join(err, f.Close())
+	if err = errors.Join(err, f.Close()); errors.Is(err, ErrTooMuch) {
+		s.disk.Remove(name)
+	}
+	return size, err
 }
 
 // tidy takes away what is older than the snapshot before the newest: should the newest turn out spoilt, that one is there. What
@@ -322,10 +350,16 @@
 }
 
 // Size tells how many bytes the snapshot and the log take.
-func (s *Store) Size() int { return s.saved + s.logged }
+func (s *Store) Size() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.saved + s.logged
+}
 
 // Close lets the folder go.
 func (s *Store) Close() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.drop()
 	s.disk.Unlock()
 }
--- a/internal/keep/store_test.go
+++ b/internal/keep/store_test.go
@@ -66,7 +66,9 @@
 				changes := draw(pcg.New(seed*100+uint64(n)), n)
 				under = with(told, changes)
 				if err = s.Commit(changes); err == nil {
-					told = under
+					if told = under; n%7 == 6 {
+						err = s.Compact()
+					}
 				}
 			}
 			if !disk.down {
--- a/internal/lab/keep.go
+++ b/internal/lab/keep.go
@@ -60,13 +60,13 @@
 func writeCSV(out io.Writer, rows []Row) error {
 	w := csv.NewWriter(out)
 	w.Write([]string{"script", "arm", "seed", "rpcs", "ok", "utility", "pushed_back", "aborted", "nothing", "broken", "p50_ms", "p99_ms", "digest",
-		"drivers", "whole_s", "lost_s", "connects", "connects_usual", "connects_at_one", "connects_at_one_usual", "lists", "lists_usual", "full", "cold", "stale"})
+		"drivers", "whole_s", "lost_s", "connects", "connects_usual", "connects_at_one", "connects_at_one_usual", "lists", "lists_usual", "full", "cold", "stale", "first_10s"})
 	number := func(f float64) string { return strconv.FormatFloat(f, 'f', 4, 64) }
 	for _, r := range rows {
 		w.Write([]string{r.Script, r.Arm, fmt.Sprint(r.Seed), fmt.Sprint(r.RPCs), number(r.OK), number(r.Utility), fmt.Sprint(r.PushedBack),
 			fmt.Sprint(r.Aborted), fmt.Sprint(r.Nothing), fmt.Sprint(r.Broken), number(r.P50), number(r.P99), r.Digest,
 			fmt.Sprint(r.Drivers), number(r.Whole), number(r.Lost), number(r.Connects), number(r.ConnectsUsual), number(r.Member), number(r.MemberUsual),
-			number(r.Lists), number(r.ListsUsual), number(r.Full), number(r.Cold), number(r.Stale)})
+			number(r.Lists), number(r.ListsUsual), number(r.Full), number(r.Cold), number(r.Stale), number(r.First)})
 	}
 	w.Flush()
 	return w.Error()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -49,6 +49,8 @@
 	Full          float64 `parquet:"full"`
 	Cold          float64 `parquet:"cold"`
 	Stale         float64 `parquet:"stale"`
+
+	First float64 `parquet:"first_10s"` // utility got of what began in the ten seconds after the script's last end of drivers
 }
 
 // How tells how rehearsals are played.
@@ -94,12 +96,18 @@
 			act, bad = func(s *play.Script) { s.Retries = whole }, notNumber != nil || number < 0 || number != float64(whole)
 		case "obeys":
 			act, bad = func(s *play.Script) { s.Obeys = value == "true" }, value != "true" && value != "false"
+		case "folders": // drivers keep what they learn, and find it kept or emptied
+			act, bad = func(s *play.Script) { s.Folders = value == "true" }, value != "true" && value != "false"
+		case "spared": // no driver ends, however the script has it
+			act, bad = (*play.Script).Spare, value != "true"
+		case "down": // how long the drivers stay away that the script ends, almost without load if it is long
+			act, bad = func(s *play.Script) { s.Absent(span) }, notSpan != nil || span < 50*time.Millisecond || span > 24*time.Hour
 		case "list_delay":
 			act, bad = func(s *play.Script) { s.ListDelay = span }, notSpan != nil || span < 0
 		case "apply":
 			act, bad = func(s *play.Script) { s.Build.Apply = span }, notSpan != nil || span < 0
 		default:
-			return a, fmt.Errorf("arm %q: there is no %q; load, drivers, cores, queue, retries, obeys, list_delay and apply can be changed", name, key)
+			return a, fmt.Errorf("arm %q: there is no %q; load, drivers, cores, queue, retries, obeys, folders, spared, down, list_delay and apply can be changed", name, key)
 		}
 		if bad {
 			return a, fmt.Errorf("arm %q: %s cannot be %q", name, key, value)
@@ -200,6 +208,9 @@
 		Broken: int64(len(r.Broken)), P50: r.Latency(50), P99: r.Latency(99), Digest: fmt.Sprintf("%016x", r.Digest),
 		Drivers: int64(s.Drivers),
 	}
+	if back := s.Return(); back > 0 {
+		row.First = r.Flow.Part(play.Every, back, back+10*time.Second)
+	}
 	if returns := r.Returns(); len(returns) > 0 {
 		row.fell(returns[len(returns)-1])
 	}
@@ -220,7 +231,7 @@
 // numbers are the columns of a row that can be compared, by name.
 func (r *Row) numbers() map[string]float64 {
 	return map[string]float64{"ok": r.OK, "utility": r.Utility, "broken": float64(r.Broken), "p99_ms": r.P99, "whole_s": r.Whole, "lost_s": r.Lost,
-		"connects": r.Connects, "connects_at_one": r.Member, "lists": r.Lists, "full": r.Full, "cold": r.Cold, "stale": r.Stale}
+		"connects": r.Connects, "connects_at_one": r.Member, "lists": r.Lists, "full": r.Full, "cold": r.Cold, "stale": r.Stale, "first_10s": r.First}
 }
 
 // Difference is how a column of two sets of rows differs, over the plays of the same script, arm and seed.
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -41,6 +41,12 @@
 	calls    uint64
 	watching bool // calls follow each other
 	whole    bool // the whole list is asked for next
+
+	rests   bool          // somebody else watches, and tells
+	heardAt time.Duration // latest answer
+
+	// Keep is told what a list says, where it is to outlast the driver: its revision, whether it is whole, and its entries.
+	Keep func(rev int64, whole bool, entries map[string][]byte) // of those that are gone nil
 }
 
 // New makes a side that has asked nothing yet.
@@ -51,6 +57,27 @@
 // Know takes the list as this driver last had it.
 func (d *Discovery) Know(body []byte) error { return d.tell(body, true) }
 
+// Rest lets another watch: no call goes out but for the whole list, until it is taken back.
+func (d *Discovery) Rest(on bool) {
+	if d.rests = on; !on {
+		d.ask()
+	}
+}
+
+// Catch asks for what has changed, though another watches.
+func (d *Discovery) Catch() {
+	was := d.rests
+	d.rests = false
+	d.ask()
+	d.rests = was
+}
+
+// Fresh tells whether discovery has answered within a watch and what that may take longer.
+func (d *Discovery) Fresh() bool { return d.heardAt > 0 && d.loop.Now()-d.heardAt < hold+slack }
+
+// Rev is the revision of the list that it has.
+func (d *Discovery) Rev() int64 { return d.rev }
+
 // Watch goes on asking for changes, or stops.
 func (d *Discovery) Watch(on bool) {
 	if d.watching = on; on {
@@ -72,7 +99,7 @@
 }
 
 func (d *Discovery) ask() {
-	if d.asked != 0 || !d.watching && !d.whole {
+	if d.asked != 0 || (!d.watching || d.rests) && !d.whole {
 		return
 	}
 	path, wait := list, slack
@@ -130,7 +157,7 @@
 		d.failed(err)
 		return
 	}
-	d.asked = 0
+	d.asked, d.heardAt = 0, d.loop.Now()
 	if last {
 		d.drop()
 	}
@@ -210,6 +237,16 @@
 		how = driver.Whole
 	}
 	d.rev = *told.Rev
+	if d.Keep != nil {
+		entries := make(map[string][]byte, len(told.Targets))
+		for _, t := range told.Targets {
+			entries[t.UID] = nil
+			if text, err := json.Marshal(t); err == nil && standings[t.State] != driver.Gone {
+				entries[t.UID] = text
+			}
+		}
+		d.Keep(d.rev, told.All, entries)
+	}
 	d.host.ListBegins(how)
 	for i, t := range told.Targets {
 		started := driver.LongAgo
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -73,6 +73,9 @@
 // Now is the time of this turn: all that happens in one turn happens at once.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// Clock is the time this moment, which may be later than that of the turn: for who measures what work takes.
+func (l *Loop) Clock() time.Duration { return l.system.Clock() }
+
 // Due is a call that is to come.
 type Due = *due.Item[func()]
 
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -50,6 +50,7 @@
 			if offices, err = odatafront.Listen(n.loop, n, at, d.limits(), open, f.OData, names, n.wants.Root,
 				n.site.Seed+uint64(d.number)); err == nil {
 				d.front, d.room = offices, offices.Room()
+				n.recallRepeats(f.Name, offices)
 			}
 		}
 		if err != nil {
@@ -131,6 +132,9 @@
 	if (wants.State == nil) != (n.wants.State == nil) || wants.State != nil && *wants.State != *n.wants.State {
 		restart = append(restart, "state")
 	}
+	if wants.Control != n.wants.Control {
+		restart = append(restart, "control")
+	}
 	for _, f := range wants.Fronts {
 		i := slices.IndexFunc(n.wants.Fronts, func(o *operator.Front) bool {
 			return o.Name == f.Name && o.Protocol == f.Protocol && o.Listen == f.Listen
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"passtack/driver"
 	"passtack/internal/comeback"
+	"passtack/internal/control"
 	"passtack/internal/list"
 	"passtack/internal/logs"
 	"passtack/internal/loop"
@@ -47,31 +48,34 @@
 
 // Node is one driver.
 type Node struct {
-	site    *Site
-	loop    *loop.Loop
-	module  *rules.Router
-	wants   *operator.File
-	doors   []*door
-	byFront map[driver.Front]*door
-	shares  share.Shares
-	pools   [driver.Forms]*member.Pool
-	opens   comeback.Opens
-	back    *comeback.Return
-	learned *learned // nil: nothing is kept
-	list    *list.Discovery
-	peers   *peers.Peers
-	rpcs    slots.Table[*rpc]
-	numbers map[string]driver.Member // by uid
-	uids    map[driver.Member]string
-	last    driver.Member // the latest number given
-	zones   []string
-	counts  map[string]int
-	most    int // call-outs of one RPC
-	tick    time.Duration
-	fault   error
-	ending  time.Duration // when all must be answered, once a planned stop was begun
-	ends    time.Duration // when clients that are connected are served no more
-	lines   *logs.Lines
+	site       *Site
+	loop       *loop.Loop
+	module     *rules.Router
+	wants      *operator.File
+	doors      []*door
+	byFront    map[driver.Front]*door
+	shares     share.Shares
+	pools      [driver.Forms]*member.Pool
+	opens      comeback.Opens
+	back       *comeback.Return
+	lookedBack time.Duration
+	learned    *learned // nil: nothing is kept
+	background background
+	simulated  bool // no time passes in a turn, and there are no workers
+	list       *list.Discovery
+	peers      *peers.Peers
+	rpcs       slots.Table[*rpc]
+	numbers    map[string]driver.Member // by uid
+	uids       map[driver.Member]string
+	last       driver.Member // the latest number given
+	zones      []string
+	counts     map[string]int
+	most       int // call-outs of one RPC
+	tick       time.Duration
+	fault      error
+	ending     time.Duration // when all must be answered, once a planned stop was begun
+	ends       time.Duration // when clients that are connected are served no more
+	lines      *logs.Lines
 
 	said      map[string]bool // by the module of late
 	saidSince time.Duration
@@ -83,15 +87,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("limits: %w", err)
 	}
-	return On(l, site, wants)
+	return on(l, site, wants, false)
 }
 
 // On is New on a loop that is there already, on whatever system; who gave it turns it.
 func On(l *loop.Loop, site *Site, wants *operator.File) (n *Node, err error) {
+	return on(l, site, wants, true)
+}
+
+func on(l *loop.Loop, site *Site, wants *operator.File, simulated bool) (n *Node, err error) {
 	t := terms.New(site.Terms)
 	n = &Node{
-		lines: new(logs.Lines),
-		site:  site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
+		lines: new(logs.Lines), simulated: simulated,
+		site: site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
 		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
 		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
 		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door), opens: comeback.NewOpens(site.span("caps.connect_timeout", 250*time.Millisecond)),
@@ -125,9 +133,15 @@
 			slog.Warn("known_list_unusable", "cause", err)
 		}
 	}
+	n.recallList()
 	if err := n.openDoors(); err != nil {
 		return nil, err
 	}
+	if wants.Control.IsValid() {
+		if _, err := control.Listen(l, wants.Control, n.answers()); err != nil {
+			return nil, fmt.Errorf("control listen %s: %w", wants.Control, err)
+		}
+	}
 	if site.Terms["list"] == "pushed" {
 		n.list.Watch(true)
 	}
@@ -141,6 +155,10 @@
 // lookBack follows the driver's way back after its start, or after it stood still.
 func (n *Node) lookBack() {
 	now, waits := n.loop.Now(), 0
+	if p := n.background.plan; p != nil && n.lookedBack > 0 {
+		p.Late(now-n.lookedBack-lookingBack, now)
+	}
+	n.lookedBack = now
 	for _, p := range n.pools {
 		waits += p.Waiting()
 	}
@@ -214,9 +232,10 @@
 			n.loop.Ring()
 		}
 	}()
-	defer n.work(heard)()
+	defer n.work()()
 	slog.Info("started", "name", n.site.Name, "listen", n.site.Listen, "discovery", n.site.Discovery)
 	err := n.loop.Run(func() {
+		n.hearWorkers()
 		for {
 			select {
 			case act := <-heard:
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -5,23 +5,35 @@
 	"log/slog"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"passtack/driver"
+	"passtack/internal/chores"
+	odatafront "passtack/internal/front/odata"
 	"passtack/internal/keep"
 	"passtack/internal/state"
 )
 
 // learned is what the driver keeps in a folder, where the operator gives it one.
 type learned struct {
-	store    *keep.Store
-	saver    *state.Saver
-	recalled *state.Recalled
-	carry    func(commit func() error, then func(error)) // lets a worker write
-	quiet    time.Duration                               // until when failures are not logged
+	store                     *keep.Store
+	saver                     *state.Saver
+	recalled                  *state.Recalled
+	unlisted                  time.Duration // until when what was recalled of members that nobody has listed is kept on
+	at                        int           // place of the round over the members; 0: a new one begins
+	begun                     bool
+	discovery                 state.Listed    // whose list the entries that are kept are of
+	entries                   map[string]bool // of the list, that are kept
+	quiet                     time.Duration   // until when failures are not logged
+	saving, compacting, aging int             // chores
 }
 
 const (
-	lookingToSave = 100 * time.Millisecond
-	quietFor      = 5 * time.Second
+	quietFor     = 5 * time.Second
+	opening      = 2 * time.Second // that a folder may take to be read before the driver goes on without
+	membersATime = 64              // of a slice of saving
+	mostBackOff  = time.Minute     // between tries to save that fail
+	unlistedFor  = time.Minute
 )
 
 // recall opens the folder and takes back what an earlier life has saved. A folder that cannot be used is told, and stops nothing.
@@ -30,7 +42,7 @@
 	if t == nil {
 		return
 	}
-	store, found, err := state.Open(t.Folder, n.site.Name, t.Bytes)
+	store, found, err := n.openFolder(t.Folder, t.Bytes)
 	if err != nil {
 		slog.Warn("state_unusable", "folder", t.Folder, "cause", err)
 		n.Count("state_unusable")
@@ -39,16 +51,116 @@
 	for _, lost := range found.Lost {
 		slog.Warn("state_lost", "file", lost)
 	}
-	n.learned = &learned{store: store, saver: state.NewSaver(store, t.Every, n.loop.Now()), recalled: state.Read(store)}
-	n.learned.carry = func(commit func() error, then func(error)) { then(commit()) }
-	r := n.learned.recalled
+	now := n.loop.Now()
+	k := &learned{store: store, saver: state.NewSaver(store, t.Bytes), recalled: state.Read(store), unlisted: now + unlistedFor, entries: make(map[string]bool)}
+	n.learned = k
+	r := k.recalled
 	for who, commit := range r.Sessions {
 		n.module.RecallToken(who, commit)
 	}
 	if r.Saved > 0 {
-		slog.Info("state_recalled", "members", len(r.Members), "sessions", len(r.Sessions), "age_ms", (n.loop.Now() - r.Saved).Milliseconds(), "lost", len(found.Lost))
+		slog.Info("state_recalled", "members", len(r.Members), "sessions", len(r.Sessions), "listed", len(r.Entries), "age_ms", (now - r.Saved).Milliseconds(),
+			"lost", len(found.Lost))
+	}
+	n.module.Usual(r.Usual...)
+	r.Sessions = nil
+	n.list.Keep = n.keepList
+	k.saving = n.chore(chores.Chore{Name: "save", Priority: 1, Period: t.Every, Deadline: 5 * time.Second, Least: t.Every, Most: mostBackOff}, n.save)
+	k.compacting = n.chore(chores.Chore{Name: "compact", Least: time.Second, Most: mostBackOff}, n.compact)
+	k.aging = n.chore(chores.Chore{Name: "forget-repeats", Period: time.Second}, n.forgetRepeats)
+}
+
+// openFolder opens the folder, where the loop turns already or a disk that stalls would hold the start up.
+func (n *Node) openFolder(path string, most int) (*keep.Store, keep.Found, error) {
+	type opened struct {
+		store *keep.Store
+		found keep.Found
+		err   error
+	}
+	if n.simulated {
+		return state.Open(path, n.site.Name, most)
+	}
+	read := make(chan opened, 1)
+	go func() {
+		s, found, err := state.Open(path, n.site.Name, most)
+		read <- opened{s, found, err}
+	}()
+	select {
+	case o := <-read:
+		return o.store, o.found, o.err
+	case <-time.After(opening):
+		go func() { // nobody uses it any more
+			if o := <-read; o.err == nil {
+				o.store.Close()
+			}
+		}()
+		return nil, keep.Found{}, errors.New("the disk does not answer")
+	}
+}
+
+// recallList takes the list that was kept, where it is newer than the one the driver was started with and of the same discovery. It is
+// perhaps out of date, so the whole list is asked for first.
+func (n *Node) recallList() {
+	if n.learned == nil {
+		return
+	}
+	r := n.learned.recalled
+	body := r.List()
+	r.Entries = nil
+	if body == nil || r.Listed.Discovery != n.site.Discovery || r.Listed.Rev <= n.list.Rev() {
+		return
+	}
+	if err := n.list.Know(body); err != nil {
+		slog.Warn("kept_list_unusable", "cause", err)
+		return
+	}
+	n.Count("state_lists")
+	n.list.Fetch()
+}
+
+// keepList takes over what discovery says.
+func (n *Node) keepList(rev int64, whole bool, entries map[string][]byte) {
+	k := n.learned
+	if whole {
+		for uid := range k.entries {
+			if entries[uid] == nil {
+				entries[uid] = nil
+			}
+		}
+	}
+	for uid, text := range entries {
+		if k.saver.List(uid, text); text == nil {
+			delete(k.entries, uid)
+		} else {
+			k.entries[uid] = true
+		}
+	}
+	if now := (state.Listed{Rev: rev, Discovery: n.site.Discovery}); now != k.discovery {
+		k.discovery = now
+		k.saver.Of(now)
 	}
-	n.loop.At(n.loop.Now()+lookingToSave, n.save)
+}
+
+// recallRepeats takes back what a front remembered of repeatable requests, and keeps what it will.
+func (n *Node) recallRepeats(name string, f *odatafront.Front) {
+	k := n.learned
+	if k == nil {
+		return
+	}
+	if known := f.Repeats().Recall(k.recalled.Repeats[name], n.loop.Now()); known > 0 {
+		slog.Info("repeats_recalled", "front", name, "requests", known)
+	}
+	f.Repeats().Keep = func(key string, e []byte) { k.saver.Repeat(name, xxh3.HashString(key), e) }
+}
+
+// forgetRepeats lets go of answers to repeats that nobody may ask for any more.
+func (n *Node) forgetRepeats() (chores.Spending, chores.End) {
+	for _, d := range n.doors {
+		if f, ok := d.front.(*odatafront.Front); ok {
+			f.Repeats().Age(n.loop.Now())
+		}
+	}
+	return chores.Spending{}, chores.Done
 }
 
 // recallMember gives the module what was saved of a member that is listed for the first time.
@@ -62,22 +174,73 @@
 	}
 }
 
-// save lets what has changed be written, when it is time.
-func (n *Node) save() {
-	if changes := n.learned.saver.Collect(n.loop.Now(), n.all); changes != nil {
-		n.learned.carry(func() error { return n.learned.store.Commit(changes) }, n.saved)
+// Remembered keeps the latest write of a session.
+func (n *Node) Remembered(who driver.Session, commit time.Duration) {
+	if n.learned != nil {
+		n.learned.saver.Wrote(who, commit)
+	}
+}
+
+// look takes a part of what the module knows into the round, and tells whether that was the last.
+func (n *Node) look(most int) (last bool) {
+	k := n.learned
+	if !k.begun {
+		k.begun, k.at = true, 0
+		k.saver.Begin()
+	}
+	k.at = n.module.Learned(k.at, most, func(m driver.Member, known driver.Known) { k.saver.Member(n.uids[m], known) })
+	if k.at > 0 {
+		return false
+	}
+	k.begun = false
+	k.saver.Usual(n.module.Usual())
+	if n.loop.Now() < k.unlisted {
+		for uid := range k.recalled.Members {
+			k.saver.Keep(uid)
+		}
+	} else {
+		clear(k.recalled.Members)
+	}
+	return true
+}
+
+// save looks at what has changed, and lets it be written.
+func (n *Node) save() (chores.Spending, chores.End) {
+	if !n.look(membersATime) {
+		return chores.Spending{}, chores.Goes
+	}
+	k := n.learned
+	changes := k.saver.Finish(n.loop.Now())
+	if changes == nil {
+		return chores.Spending{}, chores.Done
+	}
+	bytes := 0
+	for _, c := range changes {
+		bytes += len(c.Name) + len(c.Value)
 	}
-	n.loop.At(n.loop.Now()+lookingToSave, n.save)
+	n.carry(func() error { return k.store.Commit(changes) }, func(err error, took time.Duration) {
+		k.saver.Committed(err)
+		n.saved(err)
+		n.returned(k.saving, chores.Spending{Time: took, Bytes: bytes, Operations: 1}, err)
+		if err == nil && k.store.Worth() {
+			n.askFor(k.compacting)
+		}
+	})
+	return chores.Spending{}, chores.Away
 }
 
-// all gives what the module has learned, members by their uids.
-func (n *Node) all(member func(string, driver.Known), session func(driver.Session, time.Duration)) {
-	n.module.Learned(func(m driver.Member, k driver.Known) { member(n.uids[m], k) }, session)
+// compact lets a snapshot take the place of a long log.
+func (n *Node) compact() (chores.Spending, chores.End) {
+	k := n.learned
+	n.carry(k.store.Compact, func(err error, took time.Duration) {
+		n.saved(err)
+		n.returned(k.compacting, chores.Spending{Time: took, Bytes: k.store.Size(), Operations: 1}, err)
+	})
+	return chores.Spending{}, chores.Away
 }
 
 func (n *Node) saved(err error) {
 	now := n.loop.Now()
-	n.learned.saver.Committed(now, err)
 	if err == nil {
 		n.Count("state_saves")
 		return
@@ -96,34 +259,18 @@
 	}
 }
 
-// work lets a goroutine of its own write from now on, one commit after the other; it rings the loop.
-func (n *Node) work(posted chan<- func()) (end func()) {
-	if n.learned == nil {
-		return func() {}
+// saveRest writes what came since the latest commit, once the driver serves no more.
+func (n *Node) saveRest() {
+	k := n.learned
+	if k == nil || k.saver.Out() { // what is out is on a disk that does not answer
+		return
 	}
-	type job struct {
-		commit func() error
-		then   func(error)
+	for !n.look(membersATime) {
 	}
-	jobs, over := make(chan job, 1), make(chan struct{})
-	n.learned.carry = func(commit func() error, then func(error)) { jobs <- job{commit, then} }
-	go func() {
-		defer close(over)
-		for j := range jobs {
-			err := j.commit()
-			posted <- func() { j.then(err) }
-			n.loop.Ring()
-		}
-	}()
-	return func() {
-		close(jobs)
-		<-over
-		// what came since the latest commit, once the driver serves no more
-		if changes := n.learned.saver.Rest(n.loop.Now(), n.all); changes != nil {
-			if err := n.learned.store.Commit(changes); err != nil && !errors.Is(err, keep.ErrTooMuch) {
-				slog.Warn("state_not_saved", "folder", n.wants.State.Folder, "cause", err)
-			}
+	if changes := k.saver.Finish(n.loop.Now()); changes != nil {
+		if err := k.store.Commit(changes); err != nil && !errors.Is(err, keep.ErrTooMuch) {
+			slog.Warn("state_not_saved", "folder", n.wants.State.Folder, "cause", err)
 		}
-		n.LetGo()
 	}
+	n.LetGo()
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -68,13 +68,14 @@
 
 // File is what the operator wants.
 type File struct {
-	State  *State // nil: nothing is kept
-	Level  slog.Level
-	Sample int64
-	Fronts []*Front
-	Forms  map[driver.Group]driver.Form
-	Root   string // under which members that speak OData serve
-	Host   string // that they are asked for, "": their address
+	State   *State         // nil: nothing is kept
+	Control netip.AddrPort // where operators ask about the driver; invalid: nowhere
+	Level   slog.Level
+	Sample  int64
+	Fronts  []*Front
+	Forms   map[driver.Group]driver.Form
+	Root    string // under which members that speak OData serve
+	Host    string // that they are asked for, "": their address
 }
 
 // Mistakes are all that is wrong with a file, one a line.
@@ -218,7 +219,9 @@
 
 func (r *reader) file(body hcl.Body) *File {
 	f := &File{Forms: make(map[driver.Group]driver.Form), Root: "/"}
-	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "state"}, hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
+	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "state"},
+		hcl.BlockHeaderSchema{Type: "control"},
+		hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
 		hcl.BlockHeaderSchema{Type: "members", LabelNames: []string{"protocol"}})
 	if c == nil {
 		return f
@@ -247,6 +250,10 @@
 		f.State = &State{Folder: folder, Every: r.span(in, "every", time.Second, 100*time.Millisecond, time.Hour),
 			Bytes: r.count(in, "most_kb", 32<<10, 64, 1<<20) << 10}
 	}
+	r.once(blocks["control"])
+	for _, b := range blocks["control"] {
+		r.control(f, b)
+	}
 	for _, b := range blocks["members"] {
 		r.members(f, b)
 	}
@@ -278,6 +285,33 @@
 	return f
 }
 
+// control reads where operators ask: what is told there is for this machine only.
+func (r *reader) control(f *File, b *hcl.Block) {
+	c := r.content(b.Body, []string{"listen"})
+	if c == nil {
+		return
+	}
+	text, at := r.words(c, "listen", "")
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || !address.Addr().IsLoopback() {
+		r.wrong(at, "listen is no loopback address with a port (%q)", text)
+		return
+	}
+	r.taken(address, at, "the control address")
+	f.Control = address
+}
+
+// taken names who listens at an address already.
+func (r *reader) taken(address netip.AddrPort, at hcl.Range, whose string) {
+	for other, whose := range r.listens {
+		if other.Port() == address.Port() && other.Port() != 0 &&
+			(other.Addr() == address.Addr() || other.Addr().IsUnspecified() || address.Addr().IsUnspecified()) {
+			r.wrong(at, "listen is taken by %s (%q)", whose, address.String())
+		}
+	}
+	r.listens[address] = whose
+}
+
 func (r *reader) once(blocks hcl.Blocks) {
 	for _, b := range blocks[min(1, len(blocks)):] {
 		r.wrong(b.DefRange, "a second block %s", b.Type)
@@ -371,13 +405,7 @@
 		r.wrong(at, "listen is no address with a port (%q)", text)
 		return
 	}
-	for other, whose := range r.listens {
-		if other.Port() == address.Port() && other.Port() != 0 &&
-			(other.Addr() == address.Addr() || other.Addr().IsUnspecified() || address.Addr().IsUnspecified()) {
-			r.wrong(at, "listen is taken by %s (%q)", whose, text)
-		}
-	}
-	r.listens[address] = fmt.Sprintf("front %q", front.Name)
+	r.taken(address, at, fmt.Sprintf("front %q", front.Name))
 	front.Listen = address
 }
 
--- a/internal/repeat/repeat.go
+++ b/internal/repeat/repeat.go
@@ -3,12 +3,15 @@
 // or a refusal. It never lets an effect come twice: what it cannot tell from a repeat that may have run is refused once
 // the window is over.
 //
-// When a request was first sent is told by its client. A restart forgets all, and so do other drivers: what is unknown
-// here may be a repeat of what ran elsewhere. Unless the operator says that a client's repeats come to this driver only
+// When a request was first sent is told by its client. A restart forgets what was not kept (Keep, Recall), and other drivers know
+// nothing of it: what is unknown here may be a repeat of what ran elsewhere. Unless the operator says that a client's repeats come to this driver only
 // (Sticky), an unknown request may therefore run only inside the window since it was first sent.
 package repeat
 
 import (
+	"cmp"
+	"encoding/binary"
+	"slices"
 	"time"
 
 	"passtack/internal/chain"
@@ -68,10 +71,11 @@
 
 // Memory holds the requests of one driver.
 type Memory struct {
-	Sticky  bool          // repeats come to this driver only
-	Kept    time.Duration // how long an outcome is remembered
-	Most    int           // bytes
-	Open    int           // requests that may be out
+	Sticky  bool                       // repeats come to this driver only
+	Kept    time.Duration              // how long an outcome is remembered
+	Most    int                        // bytes
+	Open    int                        // requests that may be out
+	Keep    func(key string, e []byte) // is told what has ended, to be recalled by another life; nil: it is forgotten
 	began   time.Duration
 	horizon time.Duration // what was first sent before may have been forgotten
 	entries map[string]*Entry
@@ -88,7 +92,7 @@
 // Asked judges a request: what it was asked under, a digest of what it asks, when it was first sent (truncated as its
 // client told it), and the window of its group. Where it may run or joins, the entry is given.
 func (m *Memory) Asked(key string, content uint64, firstSent, now, window time.Duration) (Verdict, *Entry) {
-	m.age(now)
+	m.Age(now)
 	if firstSent > now+skew {
 		return Early, nil
 	}
@@ -158,7 +162,8 @@
 		e.state, e.mayHave = over, true
 	}
 	m.ended.Push(&e.place)
-	m.age(now)
+	m.keep(e.key, e.bytes())
+	m.Age(now)
 	return waiters
 }
 
@@ -172,9 +177,9 @@
 	}
 }
 
-// age forgets what ended long ago, and what there is no room for. What is forgotten counts as any unknown request
+// Age forgets what ended long ago, and what there is no room for. What is forgotten counts as any unknown request
 // from then on, also where repeats come to this driver only.
-func (m *Memory) age(now time.Duration) {
+func (m *Memory) Age(now time.Duration) {
 	for at := m.ended.First(); at != nil; at = m.ended.First() {
 		e := at.Value
 		if now-e.ended < m.Kept && m.held <= m.Most {
@@ -184,8 +189,73 @@
 		delete(m.entries, e.key)
 		m.held -= overhead + len(e.key) + len(e.Answer)
 		m.horizon = max(m.horizon, e.firstSent)
+		m.keep(e.key, nil)
+	}
+}
+
+func (m *Memory) keep(key string, e []byte) {
+	if m.Keep != nil {
+		m.Keep(key, e)
 	}
 }
 
 // Held tells how many requests are remembered, how many of them are out, and how many bytes they take.
 func (m *Memory) Held() (entries, out, bytes int) { return len(m.entries), m.out, m.held }
+
+const form = 1 // of a kept entry: form, state, mayHave, 5 free; content, firstSent, window, ended, length of the key; key, answer
+const fixed = 8 + 4*8 + 4
+
+// bytes is the entry as it is kept.
+func (e *Entry) bytes() []byte {
+	out := make([]byte, 8, fixed+len(e.key)+len(e.Answer))
+	out[0], out[1] = form, byte(e.state)
+	if e.mayHave {
+		out[2] = 1
+	}
+	if e.state == done && e.Answer == nil {
+		out[3] = 1
+	}
+	for _, n := range []uint64{e.content, uint64(e.firstSent), uint64(e.window), uint64(e.ended)} {
+		out = binary.LittleEndian.AppendUint64(out, n)
+	}
+	out = binary.LittleEndian.AppendUint32(out, uint32(len(e.key)))
+	return append(append(out, e.key...), e.Answer...)
+}
+
+// Recall takes back what an earlier life kept, and tells how many entries that are. An answer is told again; of all else it may have run,
+// whatever it says, since it may have been asked again after it was kept. What is from later than now is no use: the clock went back.
+func (m *Memory) Recall(kept [][]byte, now time.Duration) int {
+	var all []*Entry
+	for _, text := range kept {
+		if e := entryOf(text); e != nil && e.ended <= now && now-e.ended < m.Kept && m.entries[e.key] == nil {
+			m.entries[e.key] = e
+			m.held += overhead + len(e.key) + len(e.Answer)
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b *Entry) int { return cmp.Compare(a.ended, b.ended) })
+	for _, e := range all {
+		e.place.Value = e
+		m.ended.Push(&e.place)
+	}
+	m.Age(now)
+	return len(all)
+}
+
+// entryOf reads a kept entry; nil: it is of another form.
+func entryOf(kept []byte) *Entry {
+	if len(kept) < fixed || kept[0] != form || state(kept[1]) != done && state(kept[1]) != over {
+		return nil
+	}
+	number := func(n int) uint64 { return binary.LittleEndian.Uint64(kept[8+8*n:]) }
+	key := int(binary.LittleEndian.Uint32(kept[fixed-4:]))
+	if key > len(kept)-fixed {
+		return nil
+	}
+	e := &Entry{key: string(kept[fixed : fixed+key]), content: number(0), firstSent: time.Duration(number(1)), window: time.Duration(number(2)),
+		ended: time.Duration(number(3)), state: state(kept[1]), mayHave: true}
+	if e.state == done && kept[3] == 0 {
+		e.Answer = kept[fixed+key:]
+	}
+	return e
+}
--- a/internal/repeat/repeat_test.go
+++ b/internal/repeat/repeat_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -168,3 +170,61 @@
 		t.Errorf("a harmless repeat gets %d", v)
 	}
 }
+
+// What ended is recalled by another life: an answer is told again and never run again; what may have run is bounded by its window also
+// where repeats come to one driver only, and what "did nothing" counts as that, since it may have been asked again after it was kept.
+func TestWhatWasKeptIsRecalled(t *testing.T) {
+	kept := make(map[string][]byte)
+	m := memory(true)
+	m.Keep = func(key string, e []byte) {
+		if kept[key] = e; e == nil {
+			delete(kept, key)
+		}
+	}
+	for key, how := range map[string]End{"done": Done, "unsure": Unsure, "nothing": Nothing} {
+		verdict, e := m.Asked(key, 7, time.Second, time.Second, window)
+		if verdict != Run {
+			t.Fatalf("%s: %v", key, verdict)
+		}
+		m.Ended(e, how, []byte("answer"), time.Second)
+	}
+	if verdict, _ := m.Asked("open", 7, time.Second, time.Second, window); verdict != Run || len(kept) != 3 {
+		t.Fatalf("%v, %d are kept", verdict, len(kept))
+	}
+	recall := func(now time.Duration) *Memory {
+		again := memory(true)
+		again.began, again.horizon = now, now
+		again.Recall(slices.Collect(maps.Values(kept)), now)
+		return again
+	}
+	again := recall(1500 * time.Millisecond)
+	if verdict, e := again.Asked("done", 7, time.Second, 1800*time.Millisecond, window); verdict != Told || string(e.Answer) != "answer" {
+		t.Errorf("an answer that was kept: %v", verdict)
+	}
+	if verdict, _ := again.Asked("done", 8, time.Second, 1800*time.Millisecond, window); verdict != Other {
+		t.Errorf("another request under its id: %v", verdict)
+	}
+	for _, key := range []string{"unsure", "nothing", "open"} {
+		if verdict, e := again.Asked(key, 7, time.Second, 1800*time.Millisecond, window); verdict != Run || e.Until != time.Second+window-margin {
+			t.Errorf("%s inside its window: %v", key, verdict)
+		}
+		if verdict, _ := recall(1500*time.Millisecond).Asked(key, 7, time.Second, 4*time.Second, window); verdict != Late {
+			t.Errorf("%s after its window: %v", key, verdict)
+		}
+	}
+	if entries, _, _ := recall(500 * time.Millisecond).Held(); entries != 0 {
+		t.Errorf("%d entries from later than now are recalled", entries)
+	}
+	if entries, _, _ := recall(time.Hour).Held(); entries != 0 {
+		t.Errorf("%d entries of long ago are recalled", entries)
+	}
+	for _, spoilt := range [][]byte{nil, {form}, append([]byte{9}, kept["done"][1:]...), kept["done"][:fixed]} {
+		if n := memory(true).Recall([][]byte{spoilt}, 2*time.Second); n != 0 {
+			t.Errorf("%q is recalled", spoilt)
+		}
+	}
+	m.Age(time.Hour)
+	if len(kept) != 0 {
+		t.Errorf("%d that were forgotten are kept", len(kept))
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -347,6 +347,9 @@
 func (i *instance) FetchList()                { i.done(i.act(actFetch)) }
 func (i *instance) Forget(driver.Member)      {} // its address is its name
 
+// Remembered has nothing to do: nothing outlasts an instance.
+func (i *instance) Remembered(driver.Session, time.Duration) {}
+
 func (i *instance) Watch(on bool) {
 	place := i.act(actWatch)
 	flag := byte(0)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -4,6 +4,9 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,94 +30,202 @@
 	return s
 }
 
+// life is what a driver knows, as a test has it.
+type life struct {
+	members  map[string]driver.Known
+	sessions map[driver.Session]time.Duration
+	list     map[string]string
+	repeats  map[uint64]string
+}
+
+func (l life) copy() life {
+	return life{maps.Clone(l.members), maps.Clone(l.sessions), maps.Clone(l.list), maps.Clone(l.repeats)}
+}
+
+// round saves what has changed.
+func (l life) round(v *Saver, now time.Duration) []keep.Change {
+	v.Begin()
+	for uid, k := range l.members {
+		v.Member(uid, k)
+	}
+	return v.Finish(now)
+}
+
 // What is learned, forgotten and learned again is recalled as it was when it was last told to be saved; failed commits and those that
-// come late change nothing of that.
+// come late change nothing of that, and what failed to be written is written by the next.
 func TestWhatIsSavedIsRecalled(t *testing.T) {
 	seeded.Check(t, func(rt *rapid.T) {
 		path := t.TempDir()
 		s := open(t, path)
-		v := NewSaver(s, 100*ms, 0)
-		members, sessions := make(map[string]driver.Known), make(map[driver.Session]time.Duration)
-		savedMembers, savedSessions := maps.Clone(members), maps.Clone(sessions)
+		v := NewSaver(s, 32<<20)
+		known := life{make(map[string]driver.Known), make(map[driver.Session]time.Duration), make(map[string]string), make(map[uint64]string)}
+		saved, rev := known.copy(), int64(0)
 		now, savedAt := time.Hour, time.Duration(0)
-		learned := func(member func(string, driver.Known), session func(driver.Session, time.Duration)) {
-			for uid, k := range members {
-				member(uid, k)
-			}
-			for who, commit := range sessions {
-				session(who, commit)
-			}
-		}
-		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
-			now += time.Duration(rapid.IntRange(50, 2000).Draw(rt, "ms")) * ms
+		change := func() {
 			uid, who := fmt.Sprint("s-", rapid.IntRange(0, 5).Draw(rt, "member")), driver.Session(rapid.IntRange(1, 5).Draw(rt, "session"))
-			switch rapid.IntRange(0, 3).Draw(rt, "what") {
+			switch rapid.IntRange(0, 4).Draw(rt, "what") {
 			case 0:
-				members[uid] = driver.Known{Position: now, Replica: now - time.Second, Timed: now - 10*ms, Ratio: 1.5}
+				known.members[uid] = driver.Known{Position: now, Replica: now - time.Second, Timed: now - 10*ms, Ratio: 1.5}
 			case 1:
-				delete(members, uid)
+				delete(known.members, uid)
 			case 2:
-				sessions[who] = now
+				known.sessions[who] = now
+				v.Wrote(who, now)
 			case 3:
-				delete(sessions, who)
+				entry := fmt.Sprintf(`{"uid":%q,"rev":%d}`, uid, rev)
+				rev++
+				if known.list[uid] = entry; rapid.Bool().Draw(rt, "gone") {
+					delete(known.list, uid)
+					v.List(uid, nil)
+				} else {
+					v.List(uid, []byte(entry))
+				}
+				v.Of(Listed{Rev: rev, Discovery: netip.MustParseAddrPort("127.0.0.1:1")})
+			case 4:
+				key := uint64(rapid.IntRange(0, 3).Draw(rt, "key"))
+				if known.repeats[key] = fmt.Sprint("answer ", now); rapid.Bool().Draw(rt, "gone") {
+					delete(known.repeats, key)
+					v.Repeat("offices", key, nil)
+				} else {
+					v.Repeat("offices", key, []byte(known.repeats[key]))
+				}
 			}
-			changes := v.Collect(now, learned)
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(50, 2000).Draw(rt, "ms")) * ms
+			change()
+			changes := known.round(v, now)
 			if changes == nil {
 				continue
 			}
-			if again := v.Collect(now+time.Hour, learned); again != nil {
-				rt.Fatal("two commits are out at once")
+			then := known.copy()
+			if rapid.Bool().Draw(rt, "meanwhile") {
+				change()
 			}
 			if rapid.IntRange(0, 3).Draw(rt, "fate") == 0 {
-				v.Committed(now, errors.New("the disk is full"))
+				v.Committed(errors.New("the disk is full"))
 				continue
 			}
 			err := s.Commit(changes)
-			if v.Committed(now, err); err != nil {
+			if v.Committed(err); err != nil {
 				rt.Fatal(err)
 			}
-			savedMembers, savedSessions, savedAt = maps.Clone(members), maps.Clone(sessions), now
+			saved, savedAt = then, now
 		}
 		s.Close()
 		s = open(t, path)
 		defer s.Close()
 		r := Read(s)
-		if !maps.Equal(r.Sessions, savedSessions) || r.Saved != savedAt || len(r.Members) != len(savedMembers) {
-			rt.Fatalf("recalled %+v, saved %+v and %+v at %v", r, savedMembers, savedSessions, savedAt)
+		if !maps.Equal(r.Sessions, saved.sessions) || r.Saved != savedAt || len(r.Members) != len(saved.members) {
+			rt.Fatalf("recalled %+v, saved %+v at %v", r, saved, savedAt)
 		}
-		for uid, k := range savedMembers { // what moves on all the time is saved when it has moved on a little
+		for uid, k := range saved.members { // what moves on all the time is saved when it has moved on a little
 			if got := r.Members[uid]; got.Ratio != k.Ratio || k.Position-got.Position > still || got.Position > k.Position {
 				rt.Fatalf("%s: %+v, saved %+v", uid, got, k)
 			}
 		}
+		entries, answers := slices.Sorted(maps.Values(saved.list)), slices.Sorted(maps.Values(saved.repeats))
+		if got := texts(r.Entries); !slices.Equal(got, entries) {
+			rt.Fatalf("the list is %q, saved %q", got, entries)
+		}
+		if got := texts(r.Repeats["offices"]); !slices.Equal(got, answers) {
+			rt.Fatalf("repeats are %q, saved %q", got, answers)
+		}
 	})
 }
 
-// A disk that fails is asked less and less often, and as often as before once it works.
-func TestFailuresAreTriedAgainMoreSeldom(t *testing.T) {
+func texts(all [][]byte) (out []string) {
+	for _, text := range all {
+		out = append(out, string(text))
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Writes of many sessions stay within their part of the room, the newest are kept; what is long ago goes, and so do batches of a clock
+// that has gone back.
+func TestWritesOfSessionsStayWithinTheirRoom(t *testing.T) {
 	s := open(t, t.TempDir())
 	defer s.Close()
-	v := NewSaver(s, 100*ms, 0)
-	learned := func(member func(string, driver.Known), _ func(driver.Session, time.Duration)) {
-		member("s-1", driver.Known{Ratio: 1})
-	}
-	tries := 0
-	for now := time.Duration(0); now < 10*time.Minute; now += 50 * ms {
-		if v.Collect(now, learned) != nil {
-			tries++
-			v.Committed(now, errors.New("no"))
+	const most = 64 << 10
+	v, now := NewSaver(s, most), time.Hour
+	step := func(sessions int) {
+		now += time.Second
+		for n := range sessions {
+			v.Wrote(driver.Session(n+1), now)
+		}
+		if changes := (life{}).round(v, now); changes != nil {
+			v.Committed(s.Commit(changes))
 		}
 	}
-	if tries < 10 || tries > 25 {
-		t.Errorf("%d tries in ten minutes", tries)
+	for range 100 {
+		step(50) // 800 bytes: twenty seconds fill a quarter of the room
 	}
-	now := 11 * time.Minute
-	if v.Collect(now, learned) == nil {
-		t.Fatal("it does not try again")
+	r, bytes := Read(s), 0
+	s.Each(func(name string, value []byte) { bytes += len(value) })
+	if bytes > most/4+1000 || len(r.Sessions) != 50 || r.Sessions[7] != now || v.Dropped() == 0 {
+		t.Errorf("%d bytes, %d sessions, the latest write %v before now", bytes, len(r.Sessions), now-r.Sessions[7])
 	}
-	v.Committed(now, nil)
-	if v.Collect(now+200*ms, learned) != nil {
-		t.Error("what has not changed is written again")
+	now += forgets
+	step(0)
+	if r := Read(s); len(r.Sessions) != 0 {
+		t.Errorf("%d sessions are kept of long ago", len(r.Sessions))
+	}
+	step(1)
+	now -= time.Hour
+	step(0)
+	if r := Read(s); len(r.Sessions) != 0 {
+		t.Error("what was written after now is kept")
+	}
+}
+
+// Sessions that an earlier version of the program kept one by one are recalled, and are kept in the newer form from then on.
+func TestTheFormOfAnEarlierVersionIsTakenOver(t *testing.T) {
+	path := t.TempDir()
+	s := open(t, path)
+	k := driver.Known{Position: time.Hour, Replica: time.Hour, Timed: time.Hour, Ratio: 1}
+	if err := s.Commit([]keep.Change{{Name: "session/a", Value: appendSpan(nil, time.Hour)}, {Name: "member/s-1", Value: memberValue(k)},
+		{Name: "saved", Value: appendSpan(nil, time.Hour)}}); err != nil {
+		t.Fatal(err)
+	}
+	r, v := Read(s), NewSaver(s, 1<<20)
+	if r.Sessions[10] != time.Hour || r.Members["s-1"] != k || r.Saved != time.Hour || r.List() != nil {
+		t.Fatalf("%+v", r)
+	}
+	v.Wrote(10, r.Sessions[10]) // as the module does that recalls it
+	v.Begin()
+	v.Keep("s-1")
+	v.Committed(s.Commit(v.Finish(time.Hour + time.Second)))
+	var names []string
+	s.Each(func(name string, _ []byte) { names = append(names, strings.Split(name, "/")[0]) })
+	if again := Read(s); again.Sessions[10] != time.Hour || again.Members["s-1"] != k || !slices.Equal(names, []string{"member", "saved", "written"}) {
+		t.Errorf("%+v under %v", again, names)
+	}
+	s.Close()
+}
+
+// Pruning takes out what has not changed for long and nothing else.
+func TestPruning(t *testing.T) {
+	path := t.TempDir()
+	s := open(t, path)
+	v := NewSaver(s, 1<<20)
+	now := 100 * time.Hour
+	v.Wrote(1, now)
+	v.Begin()
+	v.Member("old", driver.Known{Position: now - 30*time.Hour, Replica: driver.LongAgo, Timed: now - 30*time.Hour, Ratio: 1})
+	v.Member("new", driver.Known{Position: now, Replica: driver.LongAgo, Timed: now - 30*time.Hour, Ratio: 1})
+	v.Committed(s.Commit(v.Finish(now)))
+	if _, _, err := Prune(path, Owner("n0"), 24*time.Hour, now, 1<<20); !errors.Is(err, keep.ErrHeld) {
+		t.Errorf("a folder that a driver holds: %v", err)
+	}
+	s.Close()
+	if before, after, err := Prune(path, Owner("n0"), 24*time.Hour, now, 1<<20); err != nil || after >= before {
+		t.Errorf("%d, %d, %v", before, after, err)
+	}
+	s = open(t, path)
+	defer s.Close()
+	if r := Read(s); len(r.Members) != 1 || r.Members["new"].Position != now || len(r.Sessions) != 1 {
+		t.Errorf("%+v", r)
 	}
 }
 
--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -53,6 +53,7 @@
 	next    driver.RPC
 	wake    time.Duration
 	probes  []driver.Member
+	written map[driver.Session]time.Duration
 	forgot  []driver.Member
 	checks  bool
 	lax     bool // only draining binds, until the next start
@@ -272,6 +273,13 @@
 
 func (w *world) Forget(m driver.Member) { w.forgot = append(w.forgot, m) }
 
+func (w *world) Remembered(who driver.Session, commit time.Duration) {
+	if w.written == nil {
+		w.written = make(map[driver.Session]time.Duration)
+	}
+	w.written[who] = commit
+}
+
 func (w *world) step(by time.Duration) {
 	for target := w.now + by; w.now < target; {
 		w.now += 5 * ms
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -52,11 +52,8 @@
 // holdPart is how much of an RPC's time may pass before it is sent.
 var holdPart = map[string]float64{anyAge: 0.15, bounded: 0.15, session: 0.15, fresh: 0.45, write: 0.45}
 
-// absent is how long a member off the list is remembered, by whether it may still be used.
-var absent = map[bool]time.Duration{true: kept, false: pinLimit}
-
-// distance is how much longer a member seems by whether it is in this driver's zone.
-var distance = map[bool]float64{true: 1, false: 1.3}
+var absent = map[bool]time.Duration{true: kept, false: pinLimit} // of one off the list, by its use
+var distance = map[bool]float64{true: 1, false: 1.3}             // as it seems, by sharing our zone
 
 type method struct {
 	need                            string
@@ -457,8 +454,7 @@
 
 // predict tells how long the method would take at the member, fuller now or emptier than it was.
 func (r *Router) predict(m *member, meth *method) time.Duration {
-	now := r.host.Now()
-	return r.predictAt(meth, r.slowness(m, now), now)
+	return r.predictAt(meth, r.slowness(m, r.host.Now()), r.host.Now())
 }
 
 func (r *Router) predictAt(meth *method, slowness float64, now time.Duration) time.Duration {
@@ -513,10 +509,8 @@
 func (r *Router) scout(q *rpc, now time.Duration) *member {
 	var best *member
 	for _, m := range q.group.members {
-		if m == q.group.primary || now-m.replicaAt < askAgain || !r.open(m, q, now) {
-			continue
-		}
-		if best == nil || m.replicaAt < best.replicaAt {
+		if m != q.group.primary && now-m.replicaAt >= askAgain && r.open(m, q, now) &&
+			(best == nil || m.replicaAt < best.replicaAt) {
 			best = m
 		}
 	}
@@ -624,11 +618,7 @@
 
 func (r *Router) remember(who driver.Session, commit time.Duration) {
 	r.tokens[who] = max(commit, r.tokens[who])
-	r.dues.Push(r.host.Now()+kept, func() {
-		if r.host.Now()-r.tokens[who] >= kept {
-			delete(r.tokens, who)
-		}
-	})
+	r.host.Remembered(who, r.tokens[who])
 }
 
 // learn keeps the member's latencies and health.
@@ -890,20 +880,20 @@
 	}
 	r.all = slices.DeleteFunc(r.all, r.forgotten)
 	maps.DeleteFunc(r.groups, func(_ driver.Group, g *group) bool { return len(g.members) == 0 })
+	maps.DeleteFunc(r.tokens, func(_ driver.Session, at time.Duration) bool { return r.host.Now()-at >= kept })
 	if how == driver.NoList {
 		wait := time.Duration((0.5 + r.chance.Float()) * float64(time.Second))
 		r.dues.Push(r.host.Now()+wait, func() { r.host.Watch(true) })
 	}
 }
 
-// Learned gives what may outlast this driver.
-func (r *Router) Learned(each func(driver.Member, driver.Known), token func(driver.Session, time.Duration)) {
-	for _, m := range r.all {
+// Learned gives what may outlast this driver, of some members from that place on; next is 0 at the end.
+func (r *Router) Learned(from, most int, each func(driver.Member, driver.Known)) (next int) {
+	to := min(from+most, len(r.all))
+	for _, m := range r.all[min(from, to):to] {
 		each(m.id, driver.Known{Position: m.pos, Replica: m.replicaAt, Timed: m.timedAt, Ratio: m.ratio})
 	}
-	for who, at := range r.tokens {
-		token(who, at)
-	}
+	return to % max(len(r.all), 1)
 }
 
 // Recall takes what an earlier life of this driver learned of a member until it was saved, unless that has
@@ -920,6 +910,17 @@
 	}
 }
 
+// Usual gives the methods' usual latencies, after it has taken over those that an earlier life gave, if any.
+func (r *Router) Usual(recalled ...time.Duration) (all []time.Duration) {
+	for i, m := range r.methods {
+		if len(recalled) == len(r.methods) {
+			m.usual = max(recalled[i], time.Millisecond)
+		}
+		all = append(all, m.usual)
+	}
+	return all
+}
+
 // RecallToken takes the write of a session back into memory, for what is left of the time it is kept.
 func (r *Router) RecallToken(who driver.Session, commit time.Duration) {
 	if now := r.host.Now(); commit <= now && now-commit < kept {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -470,7 +470,11 @@
 func TestWhatIsRecalledIsNoProof(t *testing.T) {
 	old := settled(t, "none")
 	learned := make(map[driver.Member]driver.Known)
-	old.r.Learned(func(m driver.Member, k driver.Known) { learned[m] = k }, func(driver.Session, time.Duration) {})
+	for from := 0; ; { // in parts, as a host takes them
+		if from = old.r.Learned(from, 1, func(m driver.Member, k driver.Known) { learned[m] = k }); from == 0 {
+			break
+		}
+	}
 	for _, moved := range []bool{false, true} {
 		w := newWorld(t, 2, "none")
 		w.now = old.now + time.Second
