Drivers hold leases: voters in the operator's file, two tasks, a witness in the rig

- internal/node puts internal/lease on the loop: letters by the platform's road between drivers, promises on the disk by a worker, names learned from who speaks.
The guard and the voter read the clock of that moment and not the turn's: a turn that stood still would date a promise back.
- Tasks: summary (brought by PUT with a fencing number, refused by 409), watch-discovery. passtack leases shows who holds what and why nobody does.
- A tokened write's window counts in the models from when its repeat came, not from when it was through the member's queue: one drill under strain took a resend inside the window for a second effect.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -189,6 +189,7 @@
 			Prune  statePrune  `cmd:"" help:"Take out of a folder what is old, while no driver holds it."`
 		} `cmd:"" help:"Look at the folder where a driver keeps what it has learned."`
 		Status  status  `cmd:"" help:"Ask a running driver how it is and what its background work does."`
+		Leases  leases  `cmd:"" help:"Ask running drivers who holds which lease, and why nobody does."`
 		Version version `cmd:"" help:"Print what this program was built from."`
 	}
 	c := kong.Parse(&command, kong.Name("passtack"), kong.Description("A read/write splitter for database clusters."))
--- a/internal/emu/group.go
+++ b/internal/emu/group.go
@@ -65,12 +65,12 @@
 	if now-g.swept > time.Second {
 		g.swept = now
 		for token, at := range g.repeats {
-			if now-at > m.Build.Window {
+			if now-at > 4*m.Build.Window {
 				delete(g.repeats, token)
 			}
 		}
 	}
-	if at, known := g.repeats[j.Token]; j.Token != "" && known && now-at <= m.Build.Window {
+	if at, known := g.repeats[j.Token]; j.Token != "" && known && j.came-at <= m.Build.Window { // what waits here is no later for it
 		return false
 	}
 	if j.Token != "" {
--- a/internal/emu/member.go
+++ b/internal/emu/member.go
@@ -48,6 +48,7 @@
 	Hello   bool          // it opens a connection and asks for nothing
 	Done    func(Result)  // called once, unless the member dies; never at once
 
+	came  time.Duration
 	place chain.Link[*Job]
 	began bool
 	gone  bool
@@ -129,7 +130,7 @@
 	if !m.up {
 		return false
 	}
-	j.place.Value = j
+	j.place.Value, j.came = j, m.timer.Now()
 	m.tip(j)
 	if !m.up {
 		return false
--- a/internal/emu/rig/rig_test.go
+++ b/internal/emu/rig/rig_test.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -40,6 +41,7 @@
 		fmt.Println(err)
 		os.Exit(1)
 	}
+	flag.Set("test.parallel", "32") // plays wait most of the time; how many go on at once is bounded by each kind
 	code := m.Run()
 	if name, err := program(); err == nil {
 		os.RemoveAll(filepath.Dir(name))
--- a/internal/lease/asker.go
+++ b/internal/lease/asker.go
@@ -152,7 +152,9 @@
 	term := a.term
 	if term == 0 {
 		term = max(a.seen+1, stamp)
-		a.seen = term
+		if a.seen = term; plant == reusesNumber {
+			term = 1
+		}
 		a.judge, a.next = now+answers, now+a.lasts
 	} else {
 		a.next = now + a.lasts/renewals
@@ -205,6 +207,9 @@
 		return
 	}
 	end := r.sent + a.lasts - a.lasts/Drift
+	if plant == countsFromAnswer {
+		end += now - r.sent
+	}
 	if end <= now || a.term != 0 && r.term != a.term {
 		return
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -17,6 +17,15 @@
 // Drift is by how much of a span two clocks may be apart: a part in fifty for both together.
 const Drift = 50
 
+// Mistakes that can be planted, to see that tests find them.
+const (
+	nothingPlanted   = ""
+	countsFromAnswer = "counts-from-answer" // the hold
+	answersAtOnce    = "answers-at-once"    // a voter after its start
+	halfDecides      = "half-decides"       // in place of a majority
+	reusesNumber     = "reuses-number"
+)
+
 // LongestName bounds the name of a lease.
 const LongestName = 32
 
@@ -99,6 +108,9 @@
 				count++
 			}
 		}
+		if plant == halfDecides {
+			return count >= len(of)/2
+		}
 		return count > len(of)/2
 	}
 	return most(s.Voters) && (len(s.Former) == 0 || most(s.Former))
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -57,6 +57,9 @@
 // it finds may be an older copy. What it knows are numbers and the set of voters.
 func NewVoter(host VoterHost, me Node, set Set, longest time.Duration, kept map[string]Promise, now time.Duration) *Voter {
 	v := &Voter{host: host, me: me, set: set, longest: longest, silent: now + longest + longest/Drift, adopted: set.Version, votes: make(map[string]*vote)}
+	if plant == answersAtOnce {
+		v.silent = now
+	}
 	for name, p := range kept {
 		v.votes[name] = &vote{promise: p, kept: p}
 		v.adopted = max(v.adopted, p.Version)
@@ -110,7 +113,7 @@
 		v.refuse(t, m, Older, v.longest)
 	case bound:
 		v.refuse(t, m, Held, t.wait(m.Holder, now))
-	case m.Number < t.promise.Number || m.Number == t.promise.Number && !mine:
+	case plant != reusesNumber && (m.Number < t.promise.Number || m.Number == t.promise.Number && !mine):
 		v.refuse(t, m, Lower, 0)
 	default:
 		v.grant(t, m, now)
--- a/internal/node/chores.go
+++ b/internal/node/chores.go
@@ -30,6 +30,9 @@
 // answers are what operators may ask.
 func (n *Node) answers() control.Answers {
 	all := control.Answers{"status": func() any { return n.status() }}
+	if n.leases != nil {
+		all["leases"] = func() any { return n.leases.status() }
+	}
 	return all
 }
 
@@ -156,7 +159,7 @@
 
 // work lets goroutines of their own do what would block the loop. They ring it when they are done.
 func (n *Node) work() (end func()) {
-	if n.background.plan == nil {
+	if n.background.plan == nil && n.leases == nil {
 		return func() {}
 	}
 	const hands = workers + 1 // one more for promises, so that the loop never waits for a place
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"time"
 
@@ -132,6 +133,12 @@
 	if (wants.State == nil) != (n.wants.State == nil) || wants.State != nil && *wants.State != *n.wants.State {
 		restart = append(restart, "state")
 	}
+	if restartLeases(n.wants.Leases, wants.Leases) {
+		restart = append(restart, "leases")
+	} else if n.leases != nil && !reflect.DeepEqual(n.wants.Leases, wants.Leases) {
+		n.wants.Leases = wants.Leases
+		n.leases.change(wants.Leases)
+	}
 	if wants.Control != n.wants.Control {
 		restart = append(restart, "control")
 	}
@@ -152,3 +159,13 @@
 	}
 	return restart
 }
+
+// restartLeases tells whether leases have changed in more than who votes.
+func restartLeases(a, b *operator.Leases) bool {
+	if a == nil || b == nil {
+		return a != b
+	}
+	was, is := *a, *b
+	was.Version, was.Voters, was.Former, is.Version, is.Voters, is.Former = 0, nil, nil, 0, nil, nil
+	return !reflect.DeepEqual(was, is)
+}
--- /dev/null
+++ b/internal/node/leases.go
@@ -0,0 +1,378 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"passtack/driver"
+	"passtack/internal/keep"
+	"passtack/internal/lease"
+	"passtack/internal/loop"
+	"passtack/internal/operator"
+	"passtack/internal/peers"
+	"passtack/internal/state"
+)
+
+// leases is the driver's part in the leases of its fleet, where the operator's file says so.
+type leases struct {
+	node   *Node
+	wants  *operator.Leases
+	fleet  uint64
+	me     lease.Holder
+	book   *peers.Book
+	voter  *lease.Voter
+	askers []*lease.Asker
+	tasks  []task // of each
+	due    loop.Due
+	greets time.Duration // between two greetings while some voter's address is not known
+	quiet  time.Duration // until when a name used twice is not logged
+
+	store   *keep.Store // of promises; nil: there is no folder
+	waiting []promised  // not on the disk yet
+	out     int         // of them being written
+}
+
+// task is what a driver does while it holds a lease.
+type task interface {
+	gained(number uint64)
+	lost()
+	heard(from lease.Node, l peers.Letter) // a letter for the task
+	tell() any                             // for who asks
+}
+
+type promised struct {
+	lease   string
+	promise lease.Promise
+	then    func(error)
+}
+
+const (
+	greeting     = time.Second // between two greetings while some voter's address is not known, which doubles
+	mostGreeting = 8 * time.Second
+)
+
+// takePart begins.
+func (n *Node) takePart() error {
+	w := n.wants.Leases
+	if w == nil {
+		return nil
+	}
+	if n.peers == nil {
+		return fmt.Errorf("leases: the platform gives no peer_listen, so that drivers cannot talk")
+	}
+	now := n.loop.Now()
+	l := &leases{node: n, wants: w, fleet: xxh3.HashString(w.Fleet), book: peers.NewBook(),
+		me: lease.Holder{Node: lease.NodeOf(n.site.Name), Life: uint64(n.loop.Clock()) ^ n.site.Seed}}
+	kept := make(map[string]lease.Promise)
+	if w.Folder != "" {
+		store, found, err := n.openFolder(w.Folder, leaseFolder)
+		if err != nil {
+			return fmt.Errorf("leases: %w", err)
+		}
+		for _, lost := range found.Lost {
+			slog.Warn("promises_lost", "file", lost)
+		}
+		l.store = store
+		kept = state.Promises(store)
+	}
+	l.voter = lease.NewVoter(l, l.me.Node, w.Set(), w.Longest, kept, now)
+	for i, t := range w.Tasks {
+		l.askers = append(l.askers, lease.NewAsker(l, l.me, t.Name, w.Lasts, w.Set(), n.site.Seed+uint64(i)+1))
+		l.tasks = append(l.tasks, n.newTask(l, i, t))
+		l.askers[i].Want(now)
+	}
+	n.leases = l
+	l.greet()
+	l.plan()
+	return nil
+}
+
+const leaseFolder = 1 << 20 // bytes that promises may take
+
+// newTask makes what the holder does.
+func (n *Node) newTask(l *leases, i int, t operator.Task) task {
+	if t.Name == operator.WatchDiscovery {
+		return newWatcher(l, i)
+	}
+	return newSummary(l, i, t)
+}
+
+// clock is the time of this moment: a promise or a guard that went by the turn's would take a turn that stood still for a short one.
+func (l *leases) clock() time.Duration { return l.node.loop.Clock() }
+
+// held is the guard of a task.
+func (l *leases) held(i int) (number uint64, ok bool) { return l.askers[i].Held(l.clock()) }
+
+// greet lets voters tell where they are, and others learn where this driver is.
+func (l *leases) greet() {
+	n := l.node
+	missing := slices.ContainsFunc(l.wants.Set().All(), func(v lease.Node) bool {
+		_, known := l.book.At(uint64(v))
+		return v != l.me.Node && !known
+	})
+	if missing || l.voter.Votes() && l.voter.Silence(l.clock()) > 0 { // a voter that has just started may not be the only one of its name
+		n.Count("lease_greetings")
+		l.write(driver.EveryPeer, peers.Hello, nil)
+		l.greets = min(max(2*l.greets, greeting), mostGreeting)
+	} else {
+		l.greets = greeting
+	}
+	n.loop.At(n.loop.Now()+l.greets, l.greet)
+}
+
+func (l *leases) write(to driver.Peer, kind peers.Kind, body []byte) {
+	l.node.Count("letters_sent")
+	l.node.Tell(to, peers.Letter{Kind: kind, From: uint64(l.me.Node), Life: l.me.Life, Body: body}.Write(l.fleet))
+}
+
+// take reads a text of another driver; false: it is no letter.
+func (l *leases) take(from driver.Peer, text []byte) bool {
+	letter, err := peers.ReadLetter(text, l.fleet)
+	switch err {
+	case nil:
+	case peers.ErrOther:
+		return false
+	default:
+		l.node.Count(map[error]string{peers.ErrVersion: "letters_other_version", peers.ErrStranger: "letters_strange"}[err])
+		return true
+	}
+	l.node.Count("letters_taken")
+	now := l.clock()
+	if letter.From == uint64(l.me.Node) {
+		if letter.Life != l.me.Life {
+			l.twice(l.node.site.Name)
+			l.voter.Hush(now)
+		}
+		return true
+	}
+	if l.book.Heard(from, letter, now) {
+		l.twice(fmt.Sprintf("%016x", letter.From))
+	}
+	l.read(lease.Node(letter.From), letter)
+	return true
+}
+
+// twice tells of two drivers of one name.
+func (l *leases) twice(name string) {
+	l.node.Count("names_twice")
+	if now := l.node.loop.Now(); now >= l.quiet {
+		l.quiet = now + quietFor
+		slog.Warn("name_twice", "driver", name)
+	}
+}
+
+func (l *leases) read(from lease.Node, letter peers.Letter) {
+	switch letter.Kind {
+	case peers.Hello:
+		if _, known := l.book.At(uint64(from)); known && l.voter.Votes() && len(letter.Body) == 0 {
+			l.say(from, peers.Hello, []byte{1}) // an answer, which is not answered
+		}
+	case peers.Lease:
+		m, ok := lease.Read(letter.Body)
+		if !ok {
+			l.node.Count("letters_strange")
+			return
+		}
+		l.hear(from, m)
+	default:
+		for _, t := range l.tasks {
+			t.heard(from, letter)
+		}
+	}
+}
+
+// hear takes what is said about a lease.
+func (l *leases) hear(from lease.Node, m lease.Message) {
+	if m.Op == lease.Ask || m.Op == lease.Release {
+		l.voter.Take(from, m, l.clock())
+		return
+	}
+	for _, a := range l.askers {
+		a.Take(from, m, l.clock())
+	}
+	l.plan()
+}
+
+// say sends to one driver, to this one too.
+func (l *leases) say(to lease.Node, kind peers.Kind, body []byte) {
+	if to == l.me.Node {
+		letter := peers.Letter{Kind: kind, From: uint64(l.me.Node), Life: l.me.Life, Body: body}
+		l.node.loop.Later(func() { l.read(to, letter) })
+		return
+	}
+	if at, known := l.book.At(uint64(to)); known {
+		l.write(at, kind, body)
+	}
+}
+
+// Send is the voter's and the askers' way to others.
+func (l *leases) Send(to lease.Node, m lease.Message) { l.say(to, peers.Lease, lease.Append(nil, m)) }
+
+// Keep brings promises to the disk, all that wait together.
+func (l *leases) Keep(name string, p lease.Promise, then func(error)) {
+	if l.store == nil {
+		then(nil)
+		return
+	}
+	l.waiting = append(l.waiting, promised{name, p, then})
+	l.commit()
+}
+
+func (l *leases) commit() {
+	if l.out > 0 || len(l.waiting) == 0 {
+		return
+	}
+	l.out = len(l.waiting)
+	var changes []keep.Change
+	for _, p := range l.waiting {
+		changes = append(changes, state.PromiseOf(p.lease, p.promise))
+	}
+	l.node.carry(func() error { return l.store.Commit(changes) }, func(err error, _ time.Duration) {
+		done := l.waiting[:l.out]
+		l.waiting, l.out = slices.Clone(l.waiting[l.out:]), 0
+		if err != nil {
+			l.node.Count("promises_not_kept")
+			if now := l.node.loop.Now(); now >= l.quiet {
+				l.quiet = now + quietFor
+				slog.Warn("promises_not_kept", "folder", l.wants.Folder, "cause", err)
+			}
+		}
+		for _, p := range done {
+			p.then(err)
+		}
+		l.commit()
+		l.plan()
+	})
+}
+
+// Gained and Lost are told by the askers.
+func (l *leases) Gained(name string, number uint64) {
+	l.node.Count("leases_gained")
+	slog.Info("lease_gained", "lease", name, "number", number)
+	l.tasks[l.place(name)].gained(number)
+}
+
+func (l *leases) Lost(name string, number uint64) {
+	l.node.Count("leases_lost")
+	slog.Info("lease_lost", "lease", name, "number", number)
+	l.tasks[l.place(name)].lost()
+}
+
+func (l *leases) place(name string) int {
+	return slices.IndexFunc(l.wants.Tasks, func(t operator.Task) bool { return t.Name == name })
+}
+
+// plan wakes the askers when it is time.
+func (l *leases) plan() {
+	loop := l.node.loop
+	loop.Forget(l.due)
+	l.due = nil
+	first, any := time.Duration(0), false
+	for _, a := range l.askers {
+		if at, ok := a.Wakes(); ok && (!any || at < first) {
+			first, any = at, true
+		}
+	}
+	if any {
+		l.due = loop.At(max(first, loop.Now()+time.Millisecond), l.wake)
+	}
+}
+
+func (l *leases) wake() {
+	l.due = nil
+	for _, a := range l.askers {
+		a.Wake(l.clock(), uint64(l.clock()/time.Millisecond))
+	}
+	l.plan()
+}
+
+// change takes over another set of voters.
+func (l *leases) change(w *operator.Leases) {
+	l.wants = w
+	l.voter.Change(w.Set())
+	for _, a := range l.askers {
+		a.Change(w.Set())
+	}
+	slog.Info("voters_changed", "version", w.Version, "voters", len(w.Voters), "former", len(w.Former))
+	l.plan()
+}
+
+// leave hands over what this driver holds.
+func (l *leases) leave() {
+	for _, a := range l.askers {
+		a.Leave(l.clock())
+	}
+	l.plan()
+}
+
+// LeaseStatus is one lease as a driver sees it. Times are in milliseconds.
+type LeaseStatus struct {
+	Lease  string
+	Holder string // "" where nobody is known to hold
+	Number uint64 // where this driver holds
+	ForMS  int64  // it has held
+	LeftMS int64
+	Why    map[string]string // why voters refuse, by name
+	Heard  map[string]int64  // how long ago each voter said something
+	Task   any
+}
+
+// VoteStatus is what a voter has granted.
+type VoteStatus struct {
+	Lease   string
+	Holder  string
+	Number  uint64
+	LeftMS  int64
+	Waiting int
+}
+
+// LeasesStatus is what a driver tells of leases.
+type LeasesStatus struct {
+	Name     string
+	Version  uint32
+	Voters   []string
+	Former   []string
+	SilentMS int64 // for which this voter still grants nothing
+	Leases   []LeaseStatus
+	Votes    []VoteStatus
+}
+
+// status tells how leases stand. Names are known of voters and of this driver only; others are told by number.
+func (l *leases) status() LeasesStatus {
+	now := l.clock()
+	name := func(node lease.Node) string {
+		for _, v := range slices.Concat(l.wants.Voters, l.wants.Former, []string{l.node.site.Name}) {
+			if lease.NodeOf(v) == node {
+				return v
+			}
+		}
+		if node == 0 {
+			return ""
+		}
+		return fmt.Sprintf("%016x", uint64(node))
+	}
+	s := LeasesStatus{Name: l.node.site.Name, Version: l.wants.Version, Voters: l.wants.Voters, Former: l.wants.Former}
+	if l.voter.Votes() {
+		s.SilentMS = l.voter.Silence(now).Milliseconds()
+		for _, g := range l.voter.Grants(now) {
+			s.Votes = append(s.Votes, VoteStatus{g.Lease, name(g.Holder.Node), g.Number, g.Left.Milliseconds(), g.Waiting})
+		}
+	}
+	for i, a := range l.askers {
+		r := a.Look(now)
+		one := LeaseStatus{Lease: r.Lease, Holder: name(r.Holder.Node), Number: r.Number, ForMS: r.For.Milliseconds(), LeftMS: r.Left.Milliseconds(),
+			Why: make(map[string]string), Heard: make(map[string]int64), Task: l.tasks[i].tell()}
+		for node, why := range r.Why {
+			one.Why[name(node)] = why.String()
+		}
+		for node, ago := range r.Heard {
+			one.Heard[name(node)] = ago.Milliseconds()
+		}
+		s.Leases = append(s.Leases, one)
+	}
+	return s
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	opens      comeback.Opens
 	back       *comeback.Return
 	lookedBack time.Duration
+	leases     *leases  // nil: it has no part in any
 	learned    *learned // nil: nothing is kept
 	background background
 	simulated  bool // no time passes in a turn, and there are no workers
@@ -116,7 +117,9 @@
 	if site.PeerListen.IsValid() {
 		n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, func(from driver.Peer, text []byte) {
 			n.Count("peer_texts_taken")
-			n.module.Told(from, text)
+			if n.leases == nil || !n.leases.take(from, text) {
+				n.module.Told(from, text)
+			}
 		})
 		if err != nil {
 			return nil, fmt.Errorf("peer_listen %s: %w", site.PeerListen, err)
@@ -137,6 +140,9 @@
 	if err := n.openDoors(); err != nil {
 		return nil, err
 	}
+	if err := n.takePart(); err != nil {
+		return nil, err
+	}
 	if wants.Control.IsValid() {
 		if _, err := control.Listen(l, wants.Control, n.answers()); err != nil {
 			return nil, fmt.Errorf("control listen %s: %w", wants.Control, err)
@@ -291,6 +297,9 @@
 		return
 	}
 	slog.Info("leaving", "rpcs", n.rpcs.Count(), "clients", n.open())
+	if n.leases != nil {
+		n.leases.leave()
+	}
 	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
 	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
 	n.loop.At(begun+newcomers, func() {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -108,6 +108,16 @@
 	if s.Operator == "" {
 		return operator.None(), nil
 	}
+	return operator.Read(s.Operator, s.Listen, s.offered())
+}
+
+// Parse is Wants of a text.
+func (s *Site) Parse(text []byte, name string) (*operator.File, error) {
+	return operator.Parse(text, name, s.Listen, s.offered())
+}
+
+// offered is what the operator's file is checked against.
+func (s *Site) offered() []operator.Method {
 	t := terms.New(s.Terms)
 	var methods []operator.Method
 	for i := range int(t.Number("methods.count", 0)) {
@@ -118,7 +128,7 @@
 			Limit: t.Span(at + "limit"),
 		})
 	}
-	return operator.Read(s.Operator, s.Listen, methods)
+	return methods
 }
 
 const (
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -257,6 +257,9 @@
 	if n.learned != nil {
 		n.learned.store.Close()
 	}
+	if n.leases != nil && n.leases.store != nil {
+		n.leases.store.Close()
+	}
 }
 
 // saveRest writes what came since the latest commit, once the driver serves no more.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 
 	"passtack/driver"
 	"passtack/internal/httpwire"
+	"passtack/internal/lease"
 	"passtack/internal/odata"
 	"passtack/internal/share"
 )
@@ -66,8 +67,39 @@
 	Bytes  int           // that it may take
 }
 
+// Leases is this driver's part in work that one driver does for its fleet.
+type Leases struct {
+	Fleet          string // drivers of another do not talk with these
+	Version        uint32 // of the voters
+	Voters, Former []string
+	Lasts, Longest time.Duration
+	Folder         string // where a voter keeps its promises, "": nowhere
+	Tasks          []Task
+}
+
+// Task is work for the holder of a lease of that name.
+type Task struct {
+	Name  string
+	Every time.Duration
+	To    netip.AddrPort // where a summary goes
+	Path  string
+}
+
+// Set is who votes.
+func (l *Leases) Set() lease.Set {
+	s := lease.Set{Version: l.Version}
+	for _, name := range l.Voters {
+		s.Voters = append(s.Voters, lease.NodeOf(name))
+	}
+	for _, name := range l.Former {
+		s.Former = append(s.Former, lease.NodeOf(name))
+	}
+	return s
+}
+
 // File is what the operator wants.
 type File struct {
+	Leases  *Leases        // nil: the driver has no part in any
 	State   *State         // nil: nothing is kept
 	Control netip.AddrPort // where operators ask about the driver; invalid: nowhere
 	Level   slog.Level
@@ -220,7 +252,7 @@
 func (r *reader) file(body hcl.Body) *File {
 	f := &File{Forms: make(map[driver.Group]driver.Form), Root: "/"}
 	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "state"},
-		hcl.BlockHeaderSchema{Type: "control"},
+		hcl.BlockHeaderSchema{Type: "control"}, hcl.BlockHeaderSchema{Type: "leases"},
 		hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
 		hcl.BlockHeaderSchema{Type: "members", LabelNames: []string{"protocol"}})
 	if c == nil {
@@ -254,6 +286,10 @@
 	for _, b := range blocks["control"] {
 		r.control(f, b)
 	}
+	r.once(blocks["leases"])
+	for _, b := range blocks["leases"] {
+		f.Leases = r.leases(b)
+	}
 	for _, b := range blocks["members"] {
 		r.members(f, b)
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -99,6 +99,43 @@
 	}
 }
 
+// The sample of leases is read, and each mistake in it is named.
+func TestMistakesInLeasesAreNamed(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/leases.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := string(text)
+	f, err := Parse(text, "leases.hcl", platform, methods)
+	if err != nil || len(f.Leases.Tasks) != 2 || f.Leases.Lasts != 5*time.Second || len(f.Leases.Set().All()) != 3 || f.Control.Port() != 7070 {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	for _, m := range []struct{ old, new, want string }{
+		{`"127.0.0.1:7070"`, `"10.0.0.1:7070"`, `listen is no loopback address with a port ("10.0.0.1:7070")`},
+		{`"127.0.0.1:7070"`, `"127.0.0.1:6543"`, `listen is taken by the platform's listener ("127.0.0.1:6543")`},
+		{`fleet   = "bureau"`, ``, `fleet is no name of letters, digits, dots and dashes ("")`},
+		{`"n0", "n1", "n2"`, `"n0", "n1"`, `voters are neither three nor five nor seven (2)`},
+		{`"n0", "n1", "n2"`, `"n0", "n1", "n1"`, `a name that cannot be, or that comes twice ("n1")`},
+		{`voters  =`, `former  =`, `former is given with the first version`},
+		{`lasts   = "5s"`, `lasts   = "5ms"`, `lasts is no time from 500ms to 1m0s ("5ms")`},
+		{`longest = "10s"`, `longest = "2s"`, `longest is under lasts (2s, 5s)`},
+		{`"/var/lib/passtack/n0-votes"`, `"votes"`, `folder is no path from the root ("votes")`},
+		{`task "summary"`, `task "sumary"`, `tasks are watch-discovery and summary ("sumary")`},
+		{`task "watch-discovery" {}`, `task "summary" {` + "\nto = \"127.0.0.1:1\"\n}", `a second task of this name ("summary")`},
+		{`task "watch-discovery" {}`, `task "watch-discovery" {` + "\nevery = \"1s\"\n}", `unsupported argument (every)`},
+		{`to    = "127.0.0.1:9000"`, `to    = "nowhere"`, `to is no address with a port ("nowhere")`},
+		{`path  = "/fleet"`, `path  = "a b"`, `path does not begin with a slash, or has a space ("a b")`},
+	} {
+		text := strings.Replace(good, m.old, m.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the sample", m.old)
+		}
+		if _, err := Parse([]byte(text), "leases.hcl", platform, methods); err == nil || !strings.Contains(err.Error(), m.want) {
+			t.Errorf("%s: %v, want %s", m.new, err, m.want)
+		}
+	}
+}
+
 func TestAllMistakesAreToldInOneGo(t *testing.T) {
 	text := strings.NewReplacer("weight = 2", "wieght = 2", `"Edm.Int64"`, `"Edm.Int65"`, "{Status}", "{Stats}", `= "5m"`, `= 5`).Replace(sample(t))
 	_, err := Parse([]byte(text), "passtack.hcl", platform, methods)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -19,6 +19,7 @@
 
 	"passtack/driver"
 	"passtack/internal/keep"
+	"passtack/internal/lease"
 )
 
 // Names of what is kept: a member by its uid; the latest writes of sessions, in batches by the time of their commit; entries of the list
@@ -414,3 +415,22 @@
 	}
 	return before, s.Size(), err
 }
+
+// promisePrefix stands before the name of a lease, in a folder of promises.
+const promisePrefix = "promise/"
+
+// PromiseOf is the change that keeps a promise about a lease.
+func PromiseOf(name string, p lease.Promise) keep.Change {
+	return keep.Change{Name: promisePrefix + name, Value: binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint64(nil, p.Number), p.Version)}
+}
+
+// Promises gives those that a folder holds, by lease.
+func Promises(s *keep.Store) map[string]lease.Promise {
+	all := make(map[string]lease.Promise)
+	s.Each(func(name string, value []byte) {
+		if of, ok := strings.CutPrefix(name, promisePrefix); ok && len(value) == 12 {
+			all[of] = lease.Promise{Number: binary.LittleEndian.Uint64(value), Version: binary.LittleEndian.Uint32(value[8:])}
+		}
+	})
+	return all
+}
