--- /dev/null
+++ b/cmd/passtack/fleet.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"passtack/internal/control"
+	"passtack/internal/node"
+)
+
+// fleetViews asks running drivers how they see their fleet.
+type fleetViews struct {
+	At   []string `arg:"" help:"Control addresses of drivers, as their operator's files name them."`
+	JSON bool     `help:"As JSON."`
+}
+
+func (c *fleetViews) Run() error {
+	var all []node.FleetStatus
+	var silent []string
+	for _, at := range c.At {
+		var s node.FleetStatus
+		if err := control.Ask(at, "fleet", &s); err != nil {
+			silent = append(silent, fmt.Sprintf("%s: %v", at, err))
+			continue
+		}
+		all = append(all, s)
+	}
+	if c.JSON {
+		out := json.NewEncoder(os.Stdout)
+		out.SetIndent("", " ")
+		if err := out.Encode(all); err != nil {
+			return err
+		}
+	} else if err := printViews(all); err != nil {
+		return err
+	}
+	if len(silent) > 0 {
+		return fmt.Errorf("%s", strings.Join(silent, "\n"))
+	}
+	return nil
+}
+
+// printViews prints the first view whole, and of the others where they differ from it.
+func printViews(all []node.FleetStatus) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "as seen by\tdriver\tis\tfor\tlast heard\tready\tload\tlist\tlife\tincarnation\twhy")
+	first := make(map[string]node.SeenDriver)
+	for i, s := range all {
+		missing := make(map[string]bool)
+		for name := range first {
+			missing[name] = true
+		}
+		for _, d := range s.All {
+			delete(missing, d.Name)
+			if i == 0 {
+				first[d.Name] = d
+			} else if o, known := first[d.Name]; known && o.Status == d.Status && o.Life == d.Life {
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.1fs\t%.1fs\t%.2f\t%d\t%d\t%d\t%d\t%s\n", s.Name, d.Name, d.Status, float64(d.ForMS)/1000, float64(d.HeardMS)/1000, d.Ready, d.Load, d.Revision, d.Life,
+				d.Incarnation, d.Cause)
+		}
+		for name := range missing {
+			fmt.Fprintf(w, "%s\t%s\tnot known\n", s.Name, name)
+		}
+	}
+	agree := 0
+	for _, s := range all {
+		if s.Sum == all[0].Sum {
+			agree++
+		}
+	}
+	fmt.Fprintf(w, "\n%d of %d views agree with the first\n", agree, len(all))
+	return w.Flush()
+}
--- a/internal/emu/play/leases.go
+++ b/internal/emu/play/leases.go
@@ -63,7 +63,7 @@
 }
 
 // OwnFile tells whether each driver has an operator's file of its own.
-func (s *Script) OwnFile() bool { return s.Folders || s.Leases != nil }
+func (s *Script) OwnFile() bool { return s.Folders || s.Leases != nil || s.View > 0 }
 
 // OperatorText is the operator's file of one driver: what the script gives all of them, and its own places.
 func (s *Script) OperatorText(driver int, at Places, by Electorate) ([]byte, error) {
@@ -80,6 +80,9 @@
 	if at.Control.IsValid() {
 		text = fmt.Appendf(text, "\ncontrol {\n  listen = %q\n}\n", at.Control)
 	}
+	if s.View > 0 {
+		text = fmt.Appendf(text, "\nview {\n  fleet = \"rehearsal\"\n  every = %q\n}\n", s.View)
+	}
 	if l := s.Leases; l != nil {
 		text = fmt.Appendf(text, "\nleases {\n  fleet = \"rehearsal\"\n  version = %d\n  voters = [%s]\n  lasts = %q\n  longest = %q\n", by.Version, names(by.Voters), l.Lasts, l.Lasts)
 		if by.Former != nil {
--- a/internal/emu/play/result.go
+++ b/internal/emu/play/result.go
@@ -26,7 +26,15 @@
 	Flow    Flow
 	Falls   []Fall
 	Course  Course
-	Witness *Witness // nil: nobody acts by leases
+	Witness *Witness     // nil: nobody acts by leases
+	Views   []ViewSample // what drivers that are processes told of their views, in the order in which it came
+}
+
+// ViewSample is a driver's view of its fleet at some time after the script's start.
+type ViewSample struct {
+	At     time.Duration
+	Driver int
+	Is     map[string]string // status by name
 }
 
 // Moment is one thing that happened. Times count from the script's start.
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -63,6 +63,7 @@
 	KnownFirst      bool          // drivers are always started with the list of the play's beginning
 	Older           []int         // drivers that an older program is started for, where drivers are processes
 	Leases          *Leases       // nil: none
+	View            time.Duration // between two questions of the drivers' views of their fleet; 0: they keep none
 	Methods         []*Method
 	Rate            float64 // RPCs a second
 	Surges          []Surge
@@ -133,7 +134,10 @@
 		Takeover  string `hcl:"takeover,optional"`
 	} `hcl:"fleet,block"`
 	Leases *leasesText `hcl:"leases,block"`
-	Load   struct {
+	View   *struct {
+		Every string `hcl:"every,optional"`
+	} `hcl:"view,block"`
+	Load struct {
 		Rate     float64 `hcl:"rate"`
 		Sessions int     `hcl:"sessions,optional"`
 		Retries  int     `hcl:"retries,optional"`
@@ -324,6 +328,11 @@
 	if s.Peers, s.Older = f.Peers, f.Older; f.Operator != "" {
 		s.Operator = filepath.Join(filepath.Dir(name), f.Operator)
 	}
+	if t.View != nil {
+		if s.View = span("view every", t.View.Every, time.Second); !s.Peers {
+			wrong("view", "drivers do not talk: the fleet has no peers = true")
+		}
+	}
 	if t.Leases != nil {
 		s.Leases = t.Leases.read(s, span, wrong)
 	}
--- a/internal/emu/rig/rig.go
+++ b/internal/emu/rig/rig.go
@@ -73,6 +73,7 @@
 	starts   uint64
 	folders  *play.Folders
 	witness  *play.Witness
+	views    *viewers
 	places   []play.Places // of each driver's operator's file
 	voters   play.Electorate
 	fault    error
@@ -122,7 +123,12 @@
 			f.fail("not all drivers serve after %v", mostStart)
 		}
 	})
-	if err := f.loop.Run(f.hear); err != nil {
+	err = f.loop.Run(f.hear)
+	var views []play.ViewSample
+	if f.views != nil {
+		views = f.views.over()
+	}
+	if err != nil {
 		return nil, err
 	}
 	if f.fault == nil {
@@ -131,7 +137,9 @@
 	if f.fault != nil {
 		return nil, fmt.Errorf("the play broke down: %w", f.fault)
 	}
-	return f.clients.Result(s, seed, f.cluster, f.falls, f.witness, f.loop.Now()), nil
+	result := f.clients.Result(s, seed, f.cluster, f.falls, f.witness, f.loop.Now())
+	result.Views = views
+	return result, nil
 }
 
 func (f *fleet) fail(format string, args ...any) {
@@ -416,6 +424,7 @@
 // begin lets clients come, and the script's time begin.
 func (f *fleet) begin() {
 	f.began = f.loop.Now()
+	f.views = f.watchViews()
 	f.cluster.Begin()
 	var doors []netip.AddrPort
 	for _, d := range f.drivers {
@@ -486,12 +495,17 @@
 	f.record.Down(d.name, now, back+time.Second) // it has to start
 	f.falls.Gone(d.number, now-f.began)
 	f.note(d, "%s", how)
+	if how == "driver_pause" && !d.running { // it is about to end, and would never
+		return
+	}
 	if how == "driver_pause" {
 		d.process.Process.Signal(syscall.SIGSTOP)
 		life := d.life
 		f.loop.At(back, func() {
-			if d.life == life && d.running {
+			if d.life == life { // also where it was told to end meanwhile
 				d.process.Process.Signal(syscall.SIGCONT)
+			}
+			if d.life == life && d.running {
 				f.falls.Back(d.number, f.loop.Now()-f.began)
 				f.note(d, "goes on")
 			}
--- a/internal/node/chores.go
+++ b/internal/node/chores.go
@@ -33,6 +33,9 @@
 	if n.leases != nil {
 		all["leases"] = func() any { return n.leases.status() }
 	}
+	if n.view != nil {
+		all["fleet"] = func() any { return n.view.status() }
+	}
 	return all
 }
 
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -139,6 +139,9 @@
 		n.wants.Leases = wants.Leases
 		n.leases.change(wants.Leases)
 	}
+	if (wants.View == nil) != (n.wants.View == nil) || wants.View != nil && *wants.View != *n.wants.View {
+		restart = append(restart, "view")
+	}
 	if wants.Control != n.wants.Control {
 		restart = append(restart, "control")
 	}
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"passtack/driver"
 	"passtack/internal/keep"
 	"passtack/internal/lease"
@@ -19,17 +17,15 @@
 
 // leases is the driver's part in the leases of its fleet, where the operator's file says so.
 type leases struct {
-	node   *Node
+	*talk
 	wants  *operator.Leases
-	fleet  uint64
 	me     lease.Holder
-	book   *peers.Book
 	voter  *lease.Voter
 	askers []*lease.Asker
 	tasks  []task // of each
 	due    loop.Due
 	greets time.Duration // between two greetings while some voter's address is not known
-	quiet  time.Duration // until when a name used twice is not logged
+	hushed time.Duration // until when promises that are not kept are not logged
 
 	store   *keep.Store // of promises; nil: there is no folder
 	waiting []promised  // not on the disk yet
@@ -61,12 +57,8 @@
 	if w == nil {
 		return nil
 	}
-	if n.peers == nil {
-		return fmt.Errorf("leases: the platform gives no peer_listen, so that drivers cannot talk")
-	}
 	now := n.loop.Now()
-	l := &leases{node: n, wants: w, fleet: xxh3.HashString(w.Fleet), book: peers.NewBook(),
-		me: lease.Holder{Node: lease.NodeOf(n.site.Name), Life: uint64(n.loop.Clock()) ^ n.site.Seed}}
+	l := &leases{talk: n.talk, wants: w, me: lease.Holder{Node: lease.Node(n.talk.me), Life: n.talk.life}}
 	kept := make(map[string]lease.Promise)
 	if w.Folder != "" {
 		store, found, err := n.openFolder(w.Folder, leaseFolder)
@@ -124,48 +116,8 @@
 	n.loop.At(n.loop.Now()+l.greets, l.greet)
 }
 
-func (l *leases) write(to driver.Peer, kind peers.Kind, body []byte) {
-	l.node.Count("letters_sent")
-	l.node.Tell(to, peers.Letter{Kind: kind, From: uint64(l.me.Node), Life: l.me.Life, Body: body}.Write(l.fleet))
-}
-
-// take reads a text of another driver; false: it is no letter.
-func (l *leases) take(from driver.Peer, text []byte) bool {
-	letter, err := peers.ReadLetter(text, l.fleet)
-	switch err {
-	case nil:
-	case peers.ErrOther:
-		return false
-	default:
-		l.node.Count(map[error]string{peers.ErrVersion: "letters_other_version", peers.ErrStranger: "letters_strange"}[err])
-		return true
-	}
-	l.node.Count("letters_taken")
-	now := l.clock()
-	if letter.From == uint64(l.me.Node) {
-		if letter.Life != l.me.Life {
-			l.twice(l.node.site.Name)
-			l.voter.Hush(now)
-		}
-		return true
-	}
-	if l.book.Heard(from, letter, now) {
-		l.twice(fmt.Sprintf("%016x", letter.From))
-	}
-	l.read(lease.Node(letter.From), letter)
-	return true
-}
-
-// twice tells of two drivers of one name.
-func (l *leases) twice(name string) {
-	l.node.Count("names_twice")
-	if now := l.node.loop.Now(); now >= l.quiet {
-		l.quiet = now + quietFor
-		slog.Warn("name_twice", "driver", name)
-	}
-}
-
-func (l *leases) read(from lease.Node, letter peers.Letter) {
+func (l *leases) read(letter peers.Letter) {
+	from := lease.Node(letter.From)
 	switch letter.Kind {
 	case peers.Hello:
 		if _, known := l.book.At(uint64(from)); known && l.voter.Votes() && len(letter.Body) == 0 {
@@ -201,7 +153,7 @@
 func (l *leases) say(to lease.Node, kind peers.Kind, body []byte) {
 	if to == l.me.Node {
 		letter := peers.Letter{Kind: kind, From: uint64(l.me.Node), Life: l.me.Life, Body: body}
-		l.node.loop.Later(func() { l.read(to, letter) })
+		l.node.loop.Later(func() { l.read(letter) })
 		return
 	}
 	if at, known := l.book.At(uint64(to)); known {
@@ -236,8 +188,8 @@
 		l.waiting, l.out = slices.Clone(l.waiting[l.out:]), 0
 		if err != nil {
 			l.node.Count("promises_not_kept")
-			if now := l.node.loop.Now(); now >= l.quiet {
-				l.quiet = now + quietFor
+			if now := l.node.loop.Now(); now >= l.hushed {
+				l.hushed = now + quietFor
 				slog.Warn("promises_not_kept", "folder", l.wants.Folder, "cause", err)
 			}
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,8 @@
 	opens      comeback.Opens
 	back       *comeback.Return
 	lookedBack time.Duration
+	talk       *talk    // nil: it does not talk with others
+	view       *view    // nil: it has none of its fleet
 	leases     *leases  // nil: it has no part in any
 	learned    *learned // nil: nothing is kept
 	background background
@@ -118,7 +120,7 @@
 	if site.PeerListen.IsValid() {
 		n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, func(from driver.Peer, text []byte) {
 			n.Count("peer_texts_taken")
-			if n.leases == nil || !n.leases.take(from, text) {
+			if n.talk == nil || !n.talk.take(from, text) {
 				n.module.Told(from, text)
 			}
 		})
@@ -141,7 +143,7 @@
 	if err := n.openDoors(); err != nil {
 		return nil, err
 	}
-	if err := n.takePart(); err != nil {
+	if err := n.listen(); err != nil {
 		return nil, err
 	}
 	if wants.Control.IsValid() {
@@ -301,6 +303,9 @@
 	if n.leases != nil {
 		n.leases.leave()
 	}
+	if n.view != nil {
+		n.view.seen.Leave(n.loop.Clock())
+	}
 	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
 	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
 	n.loop.At(begun+newcomers, func() {
--- /dev/null
+++ b/internal/node/view.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"passtack/driver"
+	"passtack/internal/fleet"
+	"passtack/internal/loop"
+	"passtack/internal/peers"
+)
+
+// view is the driver's view of its fleet, where the operator's file wants one.
+type view struct {
+	*talk
+	seen  *fleet.View
+	due   loop.Due
+	told  map[fleet.Status]int // lines of late, by status
+	since time.Duration
+	rpcs  int // taken until the latest look
+	at    time.Duration
+}
+
+const (
+	saying     = 500 * time.Millisecond // between two looks at what this driver says of itself
+	mostViewed = 10                     // lines of changes of one kind in quietFor
+)
+
+// viewFleet begins.
+func (n *Node) viewFleet() {
+	w := n.wants.View
+	if w == nil {
+		return
+	}
+	v := &view{talk: n.talk, told: make(map[fleet.Status]int), at: n.loop.Now()}
+	n.view = v
+	v.seen = fleet.New(v, n.site.Name, fleet.Terms{Every: w.Every, Life: n.talk.life}, n.site.Seed+101, n.loop.Now())
+	v.say()
+	v.plan()
+}
+
+// Peers counts the addresses that the platform gives.
+func (v *view) Peers() int { return len(v.node.site.Peers) }
+
+func (v *view) Send(to driver.Peer, text []byte) { v.write(to, peers.Fleet, text) }
+
+// Changed logs what has changed, few lines however many changes there are.
+func (v *view) Changed(e fleet.Entry, why string) {
+	now := v.node.loop.Now()
+	v.node.Count("fleet_" + e.Status.String())
+	if now-v.since > quietFor {
+		v.since = now
+		clear(v.told)
+	}
+	if v.told[e.Status]++; v.told[e.Status] <= mostViewed {
+		slog.Info("fleet_changed", "driver", e.Name, "is", e.Status, "life", e.Life, "incarnation", e.Incarnation, "why", why)
+	} else {
+		v.node.Count("lines_repeated")
+	}
+}
+
+// say tells the others how this driver is, when that has changed.
+func (v *view) say() {
+	n, now := v.node, v.node.loop.Now()
+	load := 0.0
+	if spent := (now - v.at).Seconds(); spent > 0 {
+		load = float64(n.counts["rpcs_taken"]-v.rpcs) / spent
+	}
+	v.rpcs, v.at = n.counts["rpcs_taken"], now
+	v.seen.Say(fleet.Digest{Ready: uint8(n.back.Ready() * 100), Load: uint16(min(load, 65535)), Revision: uint32(n.list.Rev())})
+	n.loop.At(now+saying, v.say)
+}
+
+func (v *view) take(from driver.Peer, text []byte) {
+	v.seen.Take(from, text, v.node.loop.Clock())
+	v.plan()
+}
+
+func (v *view) plan() {
+	l := v.node.loop
+	l.Forget(v.due)
+	v.due = l.At(max(v.seen.Wakes(), l.Now()+time.Millisecond), func() {
+		v.due = nil
+		v.seen.Wake(l.Clock())
+		v.plan()
+	})
+}
+
+// SeenDriver is one driver in another's view. Times are in milliseconds.
+type SeenDriver struct {
+	Name, Status, Cause string
+	Self                bool
+	Life                uint64
+	Incarnation         uint32
+	ForMS, HeardMS      int64
+	Ready               float64
+	Load, Revision      int
+}
+
+// FleetStatus is a driver's view.
+type FleetStatus struct {
+	Name   string
+	Living int
+	Sum    uint64 // equal views have equal sums
+	Halts  int
+	Sent   int
+	Bytes  int
+	Taken  int
+	All    []SeenDriver
+}
+
+func (v *view) status() FleetStatus {
+	f := v.seen
+	s := FleetStatus{Name: v.node.site.Name, Living: f.Living(), Sum: f.Sum(), Halts: f.Halts, Sent: f.Sent, Bytes: f.Bytes, Taken: f.Taken}
+	for _, k := range f.All(v.node.loop.Clock()) {
+		s.All = append(s.All, SeenDriver{Name: k.Name, Status: k.Status.String(), Cause: k.Cause, Self: k.Self, Life: k.Life, Incarnation: k.Incarnation,
+			ForMS: k.Since.Milliseconds(), HeardMS: k.Heard.Milliseconds(), Ready: float64(k.Digest.Ready) / 100, Load: int(k.Digest.Load), Revision: int(k.Digest.Revision)})
+	}
+	return s
+}
--- a/internal/operator/leases.go
+++ b/internal/operator/leases.go
@@ -102,3 +102,18 @@
 	}
 	l.Tasks = append(l.Tasks, t)
 }
+
+// view reads how a view of the fleet is kept. Leases are of the same fleet.
+func (r *reader) view(f *File, b *hcl.Block) {
+	c := r.content(b.Body, []string{"fleet", "every"})
+	if c == nil {
+		return
+	}
+	f.View = &View{Every: r.span(c, "every", time.Second, 50*time.Millisecond, time.Minute)}
+	var at hcl.Range
+	if f.View.Fleet, at = r.words(c, "fleet", ""); !hostNames.MatchString(f.View.Fleet) {
+		r.wrong(at, "fleet is no name of letters, digits, dots and dashes (%q)", f.View.Fleet)
+	} else if f.Leases != nil && f.Leases.Fleet != f.View.Fleet {
+		r.wrong(at, "fleet is another than that of the leases (%q, %q)", f.View.Fleet, f.Leases.Fleet)
+	}
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -97,8 +97,15 @@
 	return s
 }
 
+// View is how a driver keeps one of its fleet.
+type View struct {
+	Fleet string
+	Every time.Duration // between two questions
+}
+
 // File is what the operator wants.
 type File struct {
+	View    *View          // nil: the driver keeps none of its fleet
 	Leases  *Leases        // nil: the driver has no part in any
 	State   *State         // nil: nothing is kept
 	Control netip.AddrPort // where operators ask about the driver; invalid: nowhere
@@ -252,7 +259,7 @@
 func (r *reader) file(body hcl.Body) *File {
 	f := &File{Forms: make(map[driver.Group]driver.Form), Root: "/"}
 	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "state"},
-		hcl.BlockHeaderSchema{Type: "control"}, hcl.BlockHeaderSchema{Type: "leases"},
+		hcl.BlockHeaderSchema{Type: "control"}, hcl.BlockHeaderSchema{Type: "leases"}, hcl.BlockHeaderSchema{Type: "view"},
 		hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
 		hcl.BlockHeaderSchema{Type: "members", LabelNames: []string{"protocol"}})
 	if c == nil {
@@ -290,6 +297,10 @@
 	for _, b := range blocks["leases"] {
 		f.Leases = r.leases(b)
 	}
+	r.once(blocks["view"])
+	for _, b := range blocks["view"] {
+		r.view(f, b)
+	}
 	for _, b := range blocks["members"] {
 		r.members(f, b)
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -124,6 +124,8 @@
 		{`task "watch-discovery" {}`, `task "summary" {` + "\nto = \"127.0.0.1:1\"\n}", `a second task of this name ("summary")`},
 		{`task "watch-discovery" {}`, `task "watch-discovery" {` + "\nevery = \"1s\"\n}", `unsupported argument (every)`},
 		{`to    = "127.0.0.1:9000"`, `to    = "nowhere"`, `to is no address with a port ("nowhere")`},
+		{`control {`, "view {\n  fleet = \"other\"\n}\ncontrol {", `fleet is another than that of the leases ("other", "bureau")`},
+		{`control {`, "view {\n  every = \"1ms\"\n  fleet = \"bureau\"\n}\ncontrol {", `every is no time from 50ms to 1m0s ("1ms")`},
 		{`path  = "/fleet"`, `path  = "a b"`, `path does not begin with a slash, or has a space ("a b")`},
 	} {
 		text := strings.Replace(good, m.old, m.new, 1)
--- a/internal/peers/letter.go
+++ b/internal/peers/letter.go
@@ -16,7 +16,8 @@
 	Collect                  // the holder of a lease asks all for a digest
 	Digest                   // one
 	Revision                 // the holder tells which list it has
-	lastKind = Revision
+	Fleet                    // the view of the fleet
+	lastKind = Fleet
 )
 
 // Letter is what drivers of one fleet tell each other, in one datagram.
