A drain that one driver hears reaches the others, who honour it without a list

Who hears of a drain from a fresh list tells four others at once and four 100 ms later, each passes it on once for each life of the member. It is taken as a list that says only this, never for an unknown member, another life or the last ready one of its group; the next list goes over it. internal/fleet decides, on where the operator's file has a view.

--- a/internal/emu/rig/views_test.go
+++ b/internal/emu/rig/views_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"passtack/internal/emu"
 	"passtack/internal/emu/play"
 	"passtack/internal/pcg"
 )
@@ -171,3 +172,26 @@
 	all.Wait()
 	t.Logf("%d plays, settled at most %v after the last fault", seeds, longest)
 }
+
+// Discovery is silent for all drivers but one when a member drains. With a view of the fleet that one tells the others, and nothing new is sent to
+// the member after the grace; without it they go on sending until their lists come.
+func TestDrainsReachThoseWithoutAList(t *testing.T) {
+	t.Parallel()
+	for _, talks := range []bool{false, true} {
+		text := strings.Replace(viewed(6, 6), "members = 2", "members = 3", 1)
+		text = strings.Replace(text, "rate = 20", "rate = 200", 1)
+		if !talks {
+			text = text[:strings.Index(text, "view {")]
+		}
+		text += trouble("discovery", "1s", "60s", "on = [1, 2, 3, 4, 5]") + trouble("drain", "2s", "60s", "on = [2]")
+		r, err := playViews(text, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		late := r.Ledger.Sum(emu.Drained, 4, 6) // a second until the list has it, a quarter of one of grace
+		t.Logf("talks: %v, %v call-outs at the member after its drain was known to one", talks, late)
+		if (late > 0) == talks || len(r.Broken) > 0 {
+			t.Errorf("%v call-outs, %v", late, r.Broken)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,10 +59,11 @@
 	opens      comeback.Opens
 	back       *comeback.Return
 	lookedBack time.Duration
-	talk       *talk    // nil: it does not talk with others
-	view       *view    // nil: it has none of its fleet
-	leases     *leases  // nil: it has no part in any
-	learned    *learned // nil: nothing is kept
+	talk       *talk          // nil: it does not talk with others
+	view       *view          // nil: it has none of its fleet
+	listing    driver.Listing // how the list is that is being told
+	leases     *leases        // nil: it has no part in any
+	learned    *learned       // nil: nothing is kept
 	background background
 	simulated  bool // no time passes in a turn, and there are no workers
 	list       *list.Discovery
@@ -134,6 +135,9 @@
 		return nil, n.fault
 	}
 	n.recall()
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
 	if len(site.Known) > 0 {
 		if err := n.list.Know(site.Known); err != nil {
 			slog.Warn("known_list_unusable", "cause", err)
@@ -143,9 +147,6 @@
 	if err := n.openDoors(); err != nil {
 		return nil, err
 	}
-	if err := n.listen(); err != nil {
-		return nil, err
-	}
 	if wants.Control.IsValid() {
 		if _, err := control.Listen(l, wants.Control, n.answers()); err != nil {
 			return nil, fmt.Errorf("control listen %s: %w", wants.Control, err)
@@ -472,7 +473,10 @@
 	n.module.Probed(m, ok, took, report)
 }
 
-func (n *Node) ListBegins(how driver.Listing) { n.module.ListBegins(how) }
+func (n *Node) ListBegins(how driver.Listing) {
+	n.listing = how
+	n.module.ListBegins(how)
+}
 
 // Listed gives a member one number until it is forgotten, whatever its address. No number comes twice.
 func (n *Node) Listed(uid string, at netip.AddrPort, zone string, group driver.Group, state driver.Standing,
@@ -488,7 +492,11 @@
 	if at.IsValid() {
 		n.place(m, group, at)
 	}
-	n.module.Listed(m, driver.Zone(max(0, slices.Index(n.zones, zone))), group, state, size, started, primary)
+	in := driver.Zone(max(0, slices.Index(n.zones, zone)))
+	if n.view != nil {
+		n.view.drains.listed(uid, listedAs{m, in, group, size}, state, started, n.listing != driver.Cached)
+	}
+	n.module.Listed(m, in, group, state, size, started, primary)
 }
 
 // place tells the side that speaks with the member's group where it listens.
@@ -501,6 +509,9 @@
 		n.back.Listed()
 	}
 	n.module.ListEnds(how)
+	if n.view != nil {
+		n.view.drains.listEnds()
+	}
 }
 
 // What follows is what the module acts through.
--- a/internal/node/talk.go
+++ b/internal/node/talk.go
@@ -76,6 +76,8 @@
 	switch {
 	case letter.Kind == peers.Fleet && n.view != nil:
 		n.view.take(from, letter.Body)
+	case letter.Kind == peers.Drain && n.view != nil:
+		n.view.drains.heard(letter.Body)
 	case n.leases != nil:
 		n.leases.read(letter)
 	}
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -13,12 +13,13 @@
 // view is the driver's view of its fleet, where the operator's file wants one.
 type view struct {
 	*talk
-	seen  *fleet.View
-	due   loop.Due
-	told  map[fleet.Status]int // lines of late, by status
-	since time.Duration
-	rpcs  int // taken until the latest look
-	at    time.Duration
+	seen   *fleet.View
+	due    loop.Due
+	told   map[fleet.Status]int // lines of late, by status
+	since  time.Duration
+	rpcs   int // taken until the latest look
+	at     time.Duration
+	drains *drains
 }
 
 const (
@@ -34,6 +35,7 @@
 	}
 	v := &view{talk: n.talk, told: make(map[fleet.Status]int), at: n.loop.Now()}
 	n.view = v
+	v.drains = &drains{view: v, known: fleet.NewDrains(), places: make(map[uint64]listedAs)}
 	v.seen = fleet.New(v, n.site.Name, fleet.Terms{Every: w.Every, Life: n.talk.life}, n.site.Seed+101, n.loop.Now())
 	v.say()
 	v.plan()
--- a/internal/peers/letter.go
+++ b/internal/peers/letter.go
@@ -17,7 +17,8 @@
 	Digest                   // one
 	Revision                 // the holder tells which list it has
 	Fleet                    // the view of the fleet
-	lastKind = Fleet
+	Drain                    // members that drain
+	lastKind = Drain
 )
 
 // Letter is what drivers of one fleet tell each other, in one datagram.
