Connections at members are parted among the drivers that a view shows, never above the whole

Half is for every address at all times, the other half for those who see more than half of the drivers; a part shrinks at once and grows after two leases. view { connections } in the operator's file; a driver ends what rests beyond its part, call-outs wait for a connection as they do at a start.

--- a/cmd/passtack/fleet.go
+++ b/cmd/passtack/fleet.go
@@ -73,6 +73,11 @@
 			agree++
 		}
 	}
+	for _, s := range all {
+		if s.Part > 0 {
+			fmt.Fprintf(w, "\n%s takes up to %d connections at a member; sees more than half: %v", s.Name, s.Part, s.Whole)
+		}
+	}
 	fmt.Fprintf(w, "\n%d of %d views agree with the first\n", agree, len(all))
 	return w.Flush()
 }
--- a/internal/comeback/opens.go
+++ b/internal/comeback/opens.go
@@ -20,6 +20,7 @@
 	opening int
 	slow    time.Duration
 	backAt  time.Duration // when it was last made smaller
+	each    int           // connections at one member at most; 0: as many as it takes
 }
 
 // Door is one member as connections to it go: how many are coming up, and how many it has let in. At most as many come up as
@@ -34,8 +35,25 @@
 	return Opens{window: firstOpens, slow: max(time.Duration(slowPart*float64(limit)), time.Millisecond)}
 }
 
+// Limit bounds the connections at one member, coming up and let in. What is open beyond that is over it.
+func (o *Opens) Limit(each int) { o.each = each }
+
+// Over tells how many more are open there than may be.
+func (o *Opens) Over(d *Door) int {
+	if o.each == 0 {
+		return 0
+	}
+	return max(d.comingUp+d.letIn-o.each, 0)
+}
+
+// Full tells whether no more may be open there.
+func (o *Opens) Full(d *Door) bool { return o.each > 0 && d.comingUp+d.letIn >= o.each }
+
 // May tells whether one more may be opened there.
 func (o *Opens) May(d *Door) bool {
+	if o.Full(d) {
+		return false
+	}
 	most := 1
 	if !d.slow {
 		most = max(d.letIn, 1)
--- a/internal/emu/play/leases.go
+++ b/internal/emu/play/leases.go
@@ -81,7 +81,11 @@
 		text = fmt.Appendf(text, "\ncontrol {\n  listen = %q\n}\n", at.Control)
 	}
 	if s.View > 0 {
-		text = fmt.Appendf(text, "\nview {\n  fleet = \"rehearsal\"\n  every = %q\n}\n", s.View)
+		text = fmt.Appendf(text, "\nview {\n  fleet = \"rehearsal\"\n  every = %q\n", s.View)
+		if s.ViewConnections > 0 {
+			text = fmt.Appendf(text, "  connections = %d\n", s.ViewConnections)
+		}
+		text = append(text, "}\n"...)
 	}
 	if l := s.Leases; l != nil {
 		text = fmt.Appendf(text, "\nleases {\n  fleet = \"rehearsal\"\n  version = %d\n  voters = [%s]\n  lasts = %q\n  longest = %q\n", by.Version, names(by.Voters), l.Lasts, l.Lasts)
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -63,6 +63,7 @@
 	KnownFirst      bool          // drivers are always started with the list of the play's beginning
 	Older           []int         // drivers that an older program is started for, where drivers are processes
 	Leases          *Leases       // nil: none
+	ViewConnections int           // that one member takes from all drivers, of which each takes its part; 0: not told
 	View            time.Duration // between two questions of the drivers' views of their fleet; 0: they keep none
 	Methods         []*Method
 	Rate            float64 // RPCs a second
@@ -135,7 +136,8 @@
 	} `hcl:"fleet,block"`
 	Leases *leasesText `hcl:"leases,block"`
 	View   *struct {
-		Every string `hcl:"every,optional"`
+		Every       string `hcl:"every,optional"`
+		Connections int    `hcl:"connections,optional"`
 	} `hcl:"view,block"`
 	Load struct {
 		Rate     float64 `hcl:"rate"`
@@ -329,6 +331,7 @@
 		s.Operator = filepath.Join(filepath.Dir(name), f.Operator)
 	}
 	if t.View != nil {
+		s.ViewConnections = t.View.Connections
 		if s.View = span("view every", t.View.Every, time.Second); !s.Peers {
 			wrong("view", "drivers do not talk: the fleet has no peers = true")
 		}
--- a/internal/emu/rig/views_test.go
+++ b/internal/emu/rig/views_test.go
@@ -195,3 +195,30 @@
 		}
 	}
 }
+
+// Members take thirty connections each from all drivers. With parts that follow the view they never have to turn one away, through a burst, all drivers
+// killed, halves that do not hear each other and a crash; without them they do.
+func TestPartsKeepConnectionsWithinWhatMembersTake(t *testing.T) {
+	t.Parallel()
+	const takes = 30
+	for _, parted := range []bool{false, true} {
+		text := strings.NewReplacer("members = 2", fmt.Sprintf("members = 2\n  cores = 64\n  connections = %d", takes), "rate = 20", "rate = 300",
+			`work = "2ms..4ms"`, `work = "60ms..140ms"`, "sessions = 10", "sessions = 500", `every = "200ms"`, `every = "100ms"`+"\n  connections = 30").Replace(viewed(6, 16))
+		if !parted {
+			text = text[:strings.Index(text, "view {")]
+		}
+		text += trouble("partition", "6s", "4s", `islands = [["d0..1"], ["d2..5"]]`) + trouble("driver_kill", "7s", "60s", "on = [5]") + trouble("driver_kill", "12s", "200ms", "on = [0, 1, 2, 3, 4]")
+		r, err := playViews(text, 4)
+		if err != nil {
+			t.Fatal(err)
+		}
+		away, most := r.Ledger.Sum(emu.TurnedAway, 0, 16), 0.0
+		for second := range 16 {
+			most = max(most, r.Ledger.Second(emu.OpenMost, second))
+		}
+		t.Logf("parts: %v, %v connections turned away, up to %v open at one, utility %.3f", parted, away, most, r.Utility)
+		if (away > 0) == parted || len(r.Broken) > 0 {
+			t.Errorf("%v turned away, %v", away, r.Broken)
+		}
+	}
+}
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -271,9 +271,22 @@
 		k.probe()
 		return
 	}
+	if p.opens.Full(&m.door) {
+		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
+		return
+	}
 	p.connect(c, m)
 }
 
+// Trim ends connections that rest where more are open than may be.
+func (p *Pool) Trim() {
+	for _, m := range p.members {
+		for over := p.opens.Over(&m.door); over > 0 && len(m.idle) > 0; over-- {
+			m.idle[0].drop()
+		}
+	}
+}
+
 // settled is how long what belongs to no answer may come behind it: a connection that has rested for so long and
 // has nothing to read says nothing but the next answer.
 const settled = 2 * time.Millisecond
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -20,6 +20,8 @@
 	rpcs   int // taken until the latest look
 	at     time.Duration
 	drains *drains
+	parts  *fleet.Parts
+	each   int // connections at one member that are this driver's part; 0: not bounded
 }
 
 const (
@@ -35,6 +37,7 @@
 	}
 	v := &view{talk: n.talk, told: make(map[fleet.Status]int), at: n.loop.Now()}
 	n.view = v
+	v.parts = fleet.NewParts(w.Every)
 	v.drains = &drains{view: v, known: fleet.NewDrains(), places: make(map[uint64]listedAs)}
 	v.seen = fleet.New(v, n.site.Name, fleet.Terms{Every: w.Every, Life: n.talk.life}, n.site.Seed+101, n.loop.Now())
 	v.say()
@@ -70,7 +73,26 @@
 	}
 	v.rpcs, v.at = n.counts["rpcs_taken"], now
 	v.seen.Say(fleet.Digest{Ready: uint8(n.back.Ready() * 100), Load: uint16(min(load, 65535)), Revision: uint32(n.list.Rev())})
-	n.loop.At(now+saying, v.say)
+	v.share()
+	n.loop.At(now+min(saying, n.wants.View.Every), v.say)
+}
+
+// share bounds this driver's connections at each member by its part of what that takes from all.
+func (v *view) share() {
+	n, now := v.node, v.node.loop.Now()
+	v.parts.See(v.seen.Living(), v.Peers(), now)
+	if n.wants.View.Connections == 0 {
+		return
+	}
+	each := v.parts.Of(n.wants.View.Connections, now)
+	if each != v.each {
+		slog.Info("fleet_part", "connections", each, "whole", v.parts.Whole(now), "living", v.seen.Living())
+		v.each = each
+		n.opens.Limit(each)
+	}
+	for _, p := range n.pools {
+		p.Trim()
+	}
 }
 
 func (v *view) take(from driver.Peer, text []byte) {
@@ -103,6 +125,8 @@
 type FleetStatus struct {
 	Name   string
 	Living int
+	Part   int    // connections at one member, 0: not bounded
+	Whole  bool   // it has a part of what is for those who see more than half
 	Sum    uint64 // equal views have equal sums
 	Halts  int
 	Sent   int
@@ -113,7 +137,7 @@
 
 func (v *view) status() FleetStatus {
 	f := v.seen
-	s := FleetStatus{Name: v.node.site.Name, Living: f.Living(), Sum: f.Sum(), Halts: f.Halts, Sent: f.Sent, Bytes: f.Bytes, Taken: f.Taken}
+	s := FleetStatus{Name: v.node.site.Name, Living: f.Living(), Part: v.each, Whole: v.parts.Whole(v.node.loop.Now()), Sum: f.Sum(), Halts: f.Halts, Sent: f.Sent, Bytes: f.Bytes, Taken: f.Taken}
 	for _, k := range f.All(v.node.loop.Clock()) {
 		s.All = append(s.All, SeenDriver{Name: k.Name, Status: k.Status.String(), Cause: k.Cause, Self: k.Self, Life: k.Life, Incarnation: k.Incarnation,
 			ForMS: k.Since.Milliseconds(), HeardMS: k.Heard.Milliseconds(), Ready: float64(k.Digest.Ready) / 100, Load: int(k.Digest.Load), Revision: int(k.Digest.Revision)})
--- a/internal/operator/leases.go
+++ b/internal/operator/leases.go
@@ -105,11 +105,12 @@
 
 // view reads how a view of the fleet is kept. Leases are of the same fleet.
 func (r *reader) view(f *File, b *hcl.Block) {
-	c := r.content(b.Body, []string{"fleet", "every"})
+	c := r.content(b.Body, []string{"fleet", "every", "connections"})
 	if c == nil {
 		return
 	}
 	f.View = &View{Every: r.span(c, "every", time.Second, 50*time.Millisecond, time.Minute)}
+	f.View.Connections = r.count(c, "connections", 0, 1, 1<<20)
 	var at hcl.Range
 	if f.View.Fleet, at = r.words(c, "fleet", ""); !hostNames.MatchString(f.View.Fleet) {
 		r.wrong(at, "fleet is no name of letters, digits, dots and dashes (%q)", f.View.Fleet)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -99,8 +99,9 @@
 
 // View is how a driver keeps one of its fleet.
 type View struct {
-	Fleet string
-	Every time.Duration // between two questions
+	Fleet       string
+	Every       time.Duration // between two questions
+	Connections int           // that one member takes from all drivers, 0: not told
 }
 
 // File is what the operator wants.
