Scripts build on another; drills say only what is their own

Need: fourteen drills repeated their fleet and load, some fifty lines each, and this work would have added more.

like = "file.hcl": attributes and blocks go over those of that file, troubles and surges of it hold where the script has none; mistakes are named by file and line where they stand.

--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -212,10 +212,10 @@
 
 func parse(in []byte, name string, times int) (*Script, error) {
 	wrong := new(mistakes)
-	parsed, diagnostics := hclsyntax.ParseConfig(in, name, hcl.InitialPos)
+	all, diagnostics := body(in, name, 0)
 	var t text
 	if !diagnostics.HasErrors() {
-		diagnostics = append(diagnostics, gohcl.DecodeBody(parsed.Body, nil, &t)...)
+		diagnostics = append(diagnostics, gohcl.DecodeBody(all, nil, &t)...)
 	}
 	for _, d := range diagnostics {
 		at := hcl.Range{Filename: name}
@@ -232,9 +232,13 @@
 	}
 	t.Fleet.Drivers, t.Fleet.Groups = t.Fleet.Drivers*times, t.Fleet.Groups*times
 	t.Load.Rate, t.Load.Sessions = t.Load.Rate*float64(times), t.Load.Sessions*times
-	lines := places(parsed.Body.(*hclsyntax.Body))
+	lines := places(all)
 	s := t.script(name, func(path, format string, args ...any) {
-		wrong.say("%s:%d: %s: %s", name, lines[path], path, fmt.Sprintf(format, args...))
+		at := lines[path]
+		if at == "" {
+			at = name + ":0"
+		}
+		wrong.say("%s: %s: %s", at, path, fmt.Sprintf(format, args...))
 	})
 	if len(wrong.lines) > 0 {
 		sort.Strings(wrong.lines)
@@ -244,13 +248,14 @@
 	return s, nil
 }
 
-// places tells the line of each attribute by its path.
-func places(body *hclsyntax.Body) map[string]int {
-	lines, counts := make(map[string]int), make(map[string]int)
+// places tells the file and line of each attribute by its path.
+func places(body *hclsyntax.Body) map[string]string {
+	lines, counts := make(map[string]string), make(map[string]int)
+	line := func(r hcl.Range) string { return fmt.Sprintf("%s:%d", r.Filename, r.Start.Line) }
 	var walk func(path string, b *hclsyntax.Body)
 	walk = func(path string, b *hclsyntax.Body) {
 		for name, a := range b.Attributes {
-			lines[path+name] = a.SrcRange.Start.Line
+			lines[path+name] = line(a.SrcRange)
 		}
 		for _, inner := range b.Blocks {
 			at := path + inner.Type
@@ -261,7 +266,7 @@
 				at = fmt.Sprintf("%s%s %d", path, inner.Type, counts[path+inner.Type]+1)
 				counts[path+inner.Type]++
 			}
-			lines[at] = inner.TypeRange.Start.Line
+			lines[at] = line(inner.TypeRange)
 			walk(at+" ", inner.Body)
 		}
 	}
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -22,7 +22,6 @@
 // waiter asks in vain for now.
 type waiter struct {
 	holder Holder
-	heard  time.Duration
 	told   time.Duration // when it is to ask again
 }
 
@@ -158,7 +157,7 @@
 		t.waiting = append(t.waiting, waiter{holder: h})
 	}
 	told := t.until - now + time.Duration(place)*spacing
-	t.waiting[place].heard, t.waiting[place].told = now, now+told
+	t.waiting[place].told = now + told
 	return told
 }
 
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -132,12 +132,13 @@
 	Sent   int
 	Bytes  int
 	Taken  int
+	Unread int // messages that could not be read
 	All    []SeenDriver
 }
 
 func (v *view) status() FleetStatus {
 	f := v.seen
-	s := FleetStatus{Name: v.node.site.Name, Living: f.Living(), Part: v.each, Whole: v.parts.Whole(v.node.loop.Now()), Sum: f.Sum(), Halts: f.Halts, Sent: f.Sent, Bytes: f.Bytes, Taken: f.Taken}
+	s := FleetStatus{Name: v.node.site.Name, Living: f.Living(), Part: v.each, Whole: v.parts.Whole(v.node.loop.Now()), Sum: f.Sum(), Halts: f.Halts, Sent: f.Sent, Bytes: f.Bytes, Taken: f.Taken, Unread: f.Refused}
 	for _, k := range f.All(v.node.loop.Clock()) {
 		s.All = append(s.All, SeenDriver{Name: k.Name, Status: k.Status.String(), Cause: k.Cause, Self: k.Self, Life: k.Life, Incarnation: k.Incarnation,
 			ForMS: k.Since.Milliseconds(), HeardMS: k.Heard.Milliseconds(), Ready: float64(k.Digest.Ready) / 100, Load: int(k.Digest.Load), Revision: int(k.Digest.Revision)})
--- a/internal/peers/book.go
+++ b/internal/peers/book.go
@@ -67,11 +67,3 @@
 	}
 	return 0, false
 }
-
-// Since tells how long ago a driver was heard.
-func (b *Book) Since(name uint64, now time.Duration) (ago time.Duration, known bool) {
-	if e := b.entries[name]; e != nil {
-		return now - e.heard, true
-	}
-	return 0, false
-}
