The loop asks nothing of a store that a worker may hold; an end waits for no stalled disk

Seen on reading: after a commit the loop asked the store whether its log is long, and after a compaction how large it is. Both wait for the store's lock, which another worker has while its disk does not answer: RPCs would have waited with it. The final commit could wait without end, too. At fault were save, compact and saveRest in internal/node/state.go.

Drivers that are told no addresses bound no connections by a view.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -218,11 +218,16 @@
 	for _, c := range changes {
 		bytes += len(c.Name) + len(c.Value)
 	}
-	n.carry(func() error { return k.store.Commit(changes) }, func(err error, took time.Duration) {
+	worth := false // the store is asked by the worker only: it waits for whoever has the disk
+	n.carry(func() error {
+		err := k.store.Commit(changes)
+		worth = err == nil && k.store.Worth()
+		return err
+	}, func(err error, took time.Duration) {
 		k.saver.Committed(err)
 		n.saved(err)
 		n.returned(k.saving, chores.Spending{Time: took, Bytes: bytes, Operations: 1}, err)
-		if err == nil && k.store.Worth() {
+		if worth {
 			n.askFor(k.compacting)
 		}
 	})
@@ -232,9 +237,14 @@
 // compact lets a snapshot take the place of a long log.
 func (n *Node) compact() (chores.Spending, chores.End) {
 	k := n.learned
-	n.carry(k.store.Compact, func(err error, took time.Duration) {
+	size := 0
+	n.carry(func() error {
+		err := k.store.Compact()
+		size = k.store.Size()
+		return err
+	}, func(err error, took time.Duration) {
 		n.saved(err)
-		n.returned(k.compacting, chores.Spending{Time: took, Bytes: k.store.Size(), Operations: 1}, err)
+		n.returned(k.compacting, chores.Spending{Time: took, Bytes: size, Operations: 1}, err)
 	})
 	return chores.Spending{}, chores.Away
 }
@@ -270,10 +280,19 @@
 	}
 	for !n.look(membersATime) {
 	}
-	if changes := k.saver.Finish(n.loop.Now()); changes != nil {
-		if err := k.store.Commit(changes); err != nil && !errors.Is(err, keep.ErrTooMuch) {
-			slog.Warn("state_not_saved", "folder", n.wants.State.Folder, "cause", err)
+	over := make(chan struct{})
+	changes := k.saver.Finish(n.loop.Now())
+	go func() {
+		defer close(over)
+		if changes != nil {
+			if err := k.store.Commit(changes); err != nil && !errors.Is(err, keep.ErrTooMuch) {
+				slog.Warn("state_not_saved", "folder", n.wants.State.Folder, "cause", err)
+			}
 		}
+		n.LetGo()
+	}()
+	select {
+	case <-over:
+	case <-time.After(lastWords): // a disk that does not answer keeps no process
 	}
-	n.LetGo()
 }
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -81,7 +81,7 @@
 func (v *view) share() {
 	n, now := v.node, v.node.loop.Now()
 	v.parts.See(v.seen.Living(), v.Peers(), now)
-	if n.wants.View.Connections == 0 {
+	if n.wants.View.Connections == 0 || v.Peers() == 0 { // nobody tells how many drivers there may be
 		return
 	}
 	each := v.parts.Of(n.wants.View.Connections, now)
