Commands that ask drivers share how they ask and what they do about silence

Need: passtack leases and passtack fleet repeated forty lines. askAll asks, prints a table or JSON and names who is silent; their tests are as before.

--- a/cmd/passtack/fleet.go
+++ b/cmd/passtack/fleet.go
@@ -1,13 +1,10 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
-	"strings"
 	"text/tabwriter"
 
-	"passtack/internal/control"
 	"passtack/internal/node"
 )
 
@@ -17,31 +14,7 @@
 	JSON bool     `help:"As JSON."`
 }
 
-func (c *fleetViews) Run() error {
-	var all []node.FleetStatus
-	var silent []string
-	for _, at := range c.At {
-		var s node.FleetStatus
-		if err := control.Ask(at, "fleet", &s); err != nil {
-			silent = append(silent, fmt.Sprintf("%s: %v", at, err))
-			continue
-		}
-		all = append(all, s)
-	}
-	if c.JSON {
-		out := json.NewEncoder(os.Stdout)
-		out.SetIndent("", " ")
-		if err := out.Encode(all); err != nil {
-			return err
-		}
-	} else if err := printViews(all); err != nil {
-		return err
-	}
-	if len(silent) > 0 {
-		return fmt.Errorf("%s", strings.Join(silent, "\n"))
-	}
-	return nil
-}
+func (c *fleetViews) Run() error { return askAll(c.At, "fleet", c.JSON, printViews) }
 
 // printViews prints the first view whole, and of the others where they differ from it.
 func printViews(all []node.FleetStatus) error {
--- a/cmd/passtack/leases.go
+++ b/cmd/passtack/leases.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"os"
@@ -9,7 +8,6 @@
 	"strings"
 	"text/tabwriter"
 
-	"passtack/internal/control"
 	"passtack/internal/node"
 )
 
@@ -19,31 +17,7 @@
 	JSON bool     `help:"As JSON."`
 }
 
-func (c *leases) Run() error {
-	var all []node.LeasesStatus
-	var silent []string
-	for _, at := range c.At {
-		var s node.LeasesStatus
-		if err := control.Ask(at, "leases", &s); err != nil {
-			silent = append(silent, fmt.Sprintf("%s: %v", at, err))
-			continue
-		}
-		all = append(all, s)
-	}
-	if c.JSON {
-		out := json.NewEncoder(os.Stdout)
-		out.SetIndent("", " ")
-		if err := out.Encode(all); err != nil {
-			return err
-		}
-	} else if err := printLeases(all); err != nil {
-		return err
-	}
-	if len(silent) > 0 {
-		return fmt.Errorf("%s", strings.Join(silent, "\n"))
-	}
-	return nil
-}
+func (c *leases) Run() error { return askAll(c.At, "leases", c.JSON, printLeases) }
 
 func printLeases(all []node.LeasesStatus) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
--- a/cmd/passtack/status.go
+++ b/cmd/passtack/status.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"passtack/internal/control"
@@ -24,9 +26,7 @@
 		return err
 	}
 	if c.JSON {
-		out := json.NewEncoder(os.Stdout)
-		out.SetIndent("", " ")
-		return out.Encode(s)
+		return printJSON(s)
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "driver\t%s\ncomeback\t%s\nready\t%.2f\n\n", s.Name, s.Comeback, s.Ready)
@@ -46,3 +46,33 @@
 	}
 	return w.Flush()
 }
+
+func printJSON(value any) error {
+	out := json.NewEncoder(os.Stdout)
+	out.SetIndent("", " ")
+	return out.Encode(value)
+}
+
+// askAll asks drivers one question and prints what they say; those that say nothing are named at the end.
+func askAll[T any](at []string, question string, asJSON bool, print func([]T) error) error {
+	var all []T
+	var silent []string
+	for _, one := range at {
+		var s T
+		if err := control.Ask(one, question, &s); err != nil {
+			silent = append(silent, fmt.Sprintf("%s: %v", one, err))
+			continue
+		}
+		all = append(all, s)
+	}
+	if asJSON {
+		print = func(all []T) error { return printJSON(all) }
+	}
+	if err := print(all); err != nil {
+		return err
+	}
+	if len(silent) > 0 {
+		return errors.New(strings.Join(silent, "\n"))
+	}
+	return nil
+}
