A holder that has its lease back acts as often as before, not once more for each time

Seen on reading: tasks scheduled their next act by a due time that nobody took back; a holder that lost its lease and had it again within that time went on twice, and once more each time after. At fault were say and collect in internal/node/tasks.go: they keep the due time now and take it back.

A field that nobody read is gone; a test reads a process's log under a lock.

--- a/cmd/passtack/lives_test.go
+++ b/cmd/passtack/lives_test.go
@@ -113,10 +113,28 @@
 // process is a driver that a test has started.
 type process struct {
 	command *exec.Cmd
-	log     *strings.Builder
+	log     *said
 	ended   chan error
 }
 
+// said is a log that is read while it is written.
+type said struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (s *said) add(line string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.text.WriteString(line + "\n")
+}
+
+func (s *said) String() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.text.String()
+}
+
 // serveProcess starts a driver and waits until it serves.
 func serveProcess(t *testing.T, args ...string) *process {
 	t.Helper()
@@ -130,12 +148,12 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{c, new(strings.Builder), make(chan error, 1)}
+	p := &process{c, new(said), make(chan error, 1)}
 	serves := make(chan bool, 1)
 	go func() {
 		lines := bufio.NewScanner(out)
 		for lines.Scan() {
-			p.log.WriteString(lines.Text() + "\n")
+			p.log.add(lines.Text())
 			if strings.Contains(lines.Text(), "event=started") {
 				serves <- true
 			}
@@ -286,7 +304,7 @@
 	os.WriteFile(operatorFile, fmt.Appendf(nil, "state {\n folder = %q\n every = \"100ms\"\n}\ncontrol { listen = %q }\n", folder, ask), 0o600)
 	p := serveProcess(t, "--site", siteFile, "--operator", operatorFile)
 	if !strings.Contains(p.log.String(), "members=10000 sessions=100000") {
-		t.Errorf("recalled: %s", p.log.String()[:min(2000, p.log.Len())])
+		t.Errorf("recalled: %s", p.log.String()[:min(2000, len(p.log.String()))])
 	}
 	most := 0
 	for range 60 { // it saves meanwhile
--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -76,7 +76,7 @@
 	l.voter = lease.NewVoter(l, l.me.Node, w.Set(), w.Longest, kept, now)
 	for i, t := range w.Tasks {
 		l.askers = append(l.askers, lease.NewAsker(l, l.me, t.Name, w.Lasts, w.Set(), n.site.Seed+uint64(i)+1))
-		l.tasks = append(l.tasks, n.newTask(l, i, t))
+		l.tasks = append(l.tasks, l.newTask(i, t))
 		l.askers[i].Want(now)
 	}
 	n.leases = l
@@ -88,7 +88,7 @@
 const leaseFolder = 1 << 20 // bytes that promises may take
 
 // newTask makes what the holder does.
-func (n *Node) newTask(l *leases, i int, t operator.Task) task {
+func (l *leases) newTask(i int, t operator.Task) task {
 	if t.Name == operator.WatchDiscovery {
 		return newWatcher(l, i)
 	}
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -31,7 +31,6 @@
 	due    loop.Due // of the holder's next word, or of the end of a rest
 	rests  bool
 	asked  time.Duration // when this driver last asked though another watches
-	by     lease.Node
 }
 
 const (
@@ -49,7 +48,10 @@
 	w.say()
 }
 
-func (w *watcher) lost() { w.holds = false }
+func (w *watcher) lost() {
+	w.holds = false
+	w.leases.node.loop.Forget(w.due)
+}
 
 // say tells the others, at once when the list is a newer one.
 func (w *watcher) say() {
@@ -67,7 +69,8 @@
 		n.Count("revisions_told")
 		l.write(driver.EveryPeer, peers.Revision, binary.LittleEndian.AppendUint64(nil, uint64(rev)))
 	}
-	n.loop.At(now+noticing, w.say)
+	n.loop.Forget(w.due) // who lost the lease and has it again goes on once
+	w.due = n.loop.At(now+noticing, w.say)
 }
 
 func (w *watcher) heard(from lease.Node, letter peers.Letter) {
@@ -76,7 +79,6 @@
 	}
 	n := w.leases.node
 	now := n.loop.Now()
-	w.by = from
 	n.loop.Forget(w.due)
 	w.due = n.loop.At(now+noWord, func() { w.rest(false) })
 	if rev := int64(binary.LittleEndian.Uint64(letter.Body)); rev > n.list.Rev() || now-w.asked >= distrusts {
@@ -115,6 +117,7 @@
 	stream                *loop.Stream
 	out                   bool // a summary is on its way
 	patience              loop.Due
+	next                  loop.Due // when to collect again
 	puts, refused, failed int
 	latest                time.Duration
 }
@@ -140,6 +143,7 @@
 
 func (s *summary) lost() {
 	s.holds = false
+	s.leases.node.loop.Forget(s.next)
 	s.drop()
 }
 
@@ -155,7 +159,8 @@
 	if _, ok := s.leases.held(s.number); ok {
 		s.leases.write(driver.EveryPeer, peers.Collect, nil)
 	}
-	n.loop.At(n.loop.Now()+s.every, s.collect)
+	n.loop.Forget(s.next)
+	s.next = n.loop.At(n.loop.Now()+s.every, s.collect)
 }
 
 func (s *summary) own() digest {
