A change of the list is told within 6 s, whatever befalls the calls to discovery

Ruled out: the module (it sent nothing once it was told), the parser (the same list was read by all). At fault: internal/list held a watch for 5 s and waited 1 s more, rules.ListEnds then paused 0.5 to 1.5 s: up to 7.5 s and the answer. Now hold 2.5 s + slack 1 s + pause 0.5 s + answer 1 s = 5 s, and the call after a failure waits for no change, so that two failures in a row fit as well. A call for the whole list that failed is made again as such: a move by SIGHUP whose first call failed went on with a version that the new discovery does not know. A driver that rests on another's watch (leases) asks by itself every 3.5 s, 20 s before.

--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -23,10 +23,14 @@
 	Count(what string)
 }
 
+// A change counts as told 6 s after discovery had it, whatever befell the calls meanwhile. At worst it came just behind the
+// last answer and the watch opened then fell silent: hold + slack until it is given up, at most rules.ListPause until the
+// next call, which is answered at once or within slack: 2.5 + 1 + 0.5 + 1 = 5 s. If that call fails too, the one after it
+// is answered no later than 5.5 s when answers come at once. The grace is left to what has been sent already.
 const (
-	hold   = 5 * time.Second // of a watch; a silent discovery is noticed that much later
-	slack  = time.Second     // more than an answer may take
-	mostOf = 4 << 20         // bytes of a list
+	hold   = 2500 * time.Millisecond // of a watch
+	slack  = time.Second             // more than an answer may take
+	mostOf = 4 << 20                 // bytes of a list
 	list   = "/discovery/hosts"
 )
 
@@ -41,6 +45,8 @@
 	calls    uint64
 	watching bool // calls follow each other
 	whole    bool // the whole list is asked for next
+	wanted   bool // the call that is out, or the latest, is for the whole list
+	atOnce   bool // the next call waits for no change: the latest one failed, or somebody else watches
 
 	rests   bool          // somebody else watches, and tells
 	heardAt time.Duration // latest answer
@@ -66,14 +72,15 @@
 
 // Catch asks for what has changed, though another watches.
 func (d *Discovery) Catch() {
-	was := d.rests
-	d.rests = false
+	d.atOnce = true
 	d.ask()
-	d.rests = was
 }
 
+// Longest is the most that a watch takes until its answer is here or it is given up.
+const Longest = hold + slack
+
 // Fresh tells whether discovery has answered within a watch and what that may take longer.
-func (d *Discovery) Fresh() bool { return d.heardAt > 0 && d.loop.Now()-d.heardAt < hold+slack }
+func (d *Discovery) Fresh() bool { return d.heardAt > 0 && d.loop.Now()-d.heardAt < Longest }
 
 // Rev is the revision of the list that it has.
 func (d *Discovery) Rev() int64 { return d.rev }
@@ -99,13 +106,17 @@
 }
 
 func (d *Discovery) ask() {
-	if d.asked != 0 || (!d.watching || d.rests) && !d.whole {
+	if d.asked != 0 || !d.whole && (!d.watching || d.rests && !d.atOnce) {
 		return
 	}
-	path, wait := list, slack
-	if !d.whole {
-		path = fmt.Sprintf("%s?from=%d&hold_ms=%d", list, d.rev, hold/time.Millisecond)
-		wait += hold
+	path, wait, watch := list, slack, hold
+	if d.atOnce {
+		watch = 0
+	}
+	whole := d.whole
+	if !whole {
+		path = fmt.Sprintf("%s?from=%d&hold_ms=%d", list, d.rev, watch/time.Millisecond)
+		wait += watch
 	}
 	if d.stream != nil && !d.stream.Alive() { // it was closed between two calls
 		d.drop()
@@ -117,7 +128,7 @@
 			return
 		}
 	}
-	d.whole = false
+	d.whole, d.wanted = false, whole
 	d.calls++
 	d.asked = d.calls
 	number := d.asked
@@ -157,7 +168,7 @@
 		d.failed(err)
 		return
 	}
-	d.asked, d.heardAt = 0, d.loop.Now()
+	d.asked, d.heardAt, d.atOnce = 0, d.loop.Now(), false
 	if last {
 		d.drop()
 	}
@@ -186,11 +197,13 @@
 	}
 }
 
-// failed tells that a call brought nothing: the last list holds, and whoever wanted more asks again.
+// failed tells that a call brought nothing: the last list holds, and whoever wanted more asks again, for the whole list
+// if that was what it did not get.
 func (d *Discovery) failed(cause error) {
 	slog.Warn("list_failed", "rev", d.rev, "cause", cause)
 	d.drop()
-	d.asked, d.watching = 0, false
+	d.whole = d.whole || d.asked != 0 && d.wanted
+	d.asked, d.watching, d.atOnce = 0, false, true
 	d.host.Count("list_failures")
 	d.host.ListBegins(driver.NoList)
 	d.host.ListEnds(driver.NoList)
--- a/internal/loop/sim/world.go
+++ b/internal/loop/sim/world.go
@@ -69,6 +69,9 @@
 // At calls once the time has come.
 func (w *World) At(at time.Duration, act func()) { w.queue.Push(max(at, w.now), act) }
 
+// Hosts are the machines, as they were added.
+func (w *World) Hosts() []*Host { return w.hosts }
+
 // Host adds a machine.
 func (w *World) Host(name string) *Host {
 	h := &Host{Name: name, world: w, sockets: make(map[int]*socket), next: 3, Cost: 20 * time.Microsecond}
--- a/internal/node/tasks.go
+++ b/internal/node/tasks.go
@@ -15,6 +15,7 @@
 	"passtack/driver"
 	"passtack/internal/httpwire"
 	"passtack/internal/lease"
+	"passtack/internal/list"
 	"passtack/internal/loop"
 	"passtack/internal/operator"
 	"passtack/internal/peers"
@@ -37,7 +38,7 @@
 	words     = 300 * time.Millisecond // between two words of the holder
 	noWord    = time.Second            // without one all watch by themselves
 	noticing  = 20 * time.Millisecond  // in which the holder notices that its list is a newer one
-	distrusts = 20 * time.Second       // after which a driver that rests asks by itself: the holder may be wrong
+	distrusts = list.Longest           // after which a driver that rests asks by itself: the holder may be wrong or know less
 )
 
 func newWatcher(l *leases, i int) *watcher { return &watcher{leases: l, number: i} }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -147,6 +147,9 @@
 
 const never = driver.LongAgo // before all other times
 
+// ListPause is the longest until discovery is asked again after a call that failed: see internal/list for the sum.
+const ListPause = 500 * time.Millisecond
+
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
 	r := &Router{
 		host: host, chance: pcg.New(seed), terms: terms.New(settings), probes: probeCredit, pace: 1,
@@ -882,7 +885,7 @@
 	maps.DeleteFunc(r.groups, func(_ driver.Group, g *group) bool { return len(g.members) == 0 })
 	maps.DeleteFunc(r.tokens, func(_ driver.Session, at time.Duration) bool { return r.host.Now()-at >= kept })
 	if how == driver.NoList {
-		wait := time.Duration((0.5 + r.chance.Float()) * float64(time.Second))
+		wait := time.Duration((1 + r.chance.Float()) / 2 * float64(ListPause))
 		r.dues.Push(r.host.Now()+wait, func() { r.host.Watch(true) })
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -239,10 +239,18 @@
 
 func TestFailedWatchIsAskedForAgainWithoutFlooding(t *testing.T) {
 	w := newWorld(t, 1, "wait", "list=asked")
-	w.watches = 0
-	w.r.ListEnds(driver.NoList)
-	if w.step(2 * time.Second); w.watches != 1 {
-		t.Fatalf("%d watches asked for after one failure", w.watches)
+	for range 50 {
+		w.watches = 0
+		w.r.ListEnds(driver.NoList)
+		if w.step(ListPause / 2); w.watches != 0 {
+			t.Fatal("a watch was asked for in less than half of the longest pause")
+		}
+		if w.step(ListPause/2 + 5*ms); w.watches != 1 {
+			t.Fatalf("%d watches asked for when the longest pause was over", w.watches)
+		}
+		if w.step(2 * time.Second); w.watches != 1 {
+			t.Fatalf("%d watches asked for after one failure", w.watches)
+		}
 	}
 }
 
