A repeat reaches its member inside the window or is not written; what ends goes out no more

The module asked for the repeat inside the window (rules.again), but CallOut told no last moment: the pool wrote it when its connection had come up, up to 250 ms later. Ruled out: the start of the window (the first attempt's CallOut, no later than its write), cancelled and moot attempts (they count as run or as not written). Host.CallOut has a last moment (by) now: window less 20 ms for the way. Pool: nothing is written from then on, what is written in part is cut off, an answer is still waited for until the client's time; before, the whole attempt had been cut to the window in the module. An RPC that has its final answer, or whose client has left, is withdrawn wherever it rests unwritten, also where running attempts may not be cancelled (caps.cancel). Found on the way, each with its test: - group = zone was taken for the whole group: a repeat goes to the zone of the first attempt that may have run. - An effect that nobody knows was served as one that must not run twice, a missing window as none: one error now names key and value. - Where few members are left, all cold and nothing warm known, half of what clients ask for was parted among those few (rules, coldRoom): more than such a member can bear. It is parted among all that there were of late.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -76,7 +76,8 @@
 // that a position and a time compare.
 type Host interface {
 	Now() time.Duration
-	CallOut(rpc RPC, to Member, timeout time.Duration) // timeout 0: until the client stops waiting
+	// CallOut sends an RPC that is whole at the member's by that time, or not at all. Timeout 0: until the client stops waiting.
+	CallOut(rpc RPC, to Member, by, timeout time.Duration)
 	Cancel(rpc RPC, callOut int)
 	PushBack(rpc RPC, comeBack time.Duration) // final; comeBack 0: none said
 	Abort(rpc RPC)                            // final
--- a/driver/seam.go
+++ b/driver/seam.go
@@ -68,8 +68,9 @@
 
 // Side is one protocol with members, and the connections to those who speak it.
 type Side interface {
-	CallOut(rpc RPC, n int, to Member, until time.Duration, ask *Ask) (call uint32)
+	CallOut(rpc RPC, n int, to Member, by, until time.Duration, ask *Ask) (call uint32) // written whole by then, or never
 	Cancel(call uint32)
+	Withdraw(call uint32) // ends it unless it was written whole
 	Probe(m Member)
 	CloseIdle(m Member)
 	Forget(m Member)
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -137,6 +137,7 @@
 	probe  bool
 	to     driver.Member
 	sent   time.Duration
+	by     time.Duration // when it must have been written whole
 	until  time.Duration
 	conn   *conn
 	ask    *driver.Ask // waits for the connection
@@ -182,18 +183,18 @@
 	}
 }
 
-// CallOut sends what is asked, with the time that is left. It ends with exactly one outcome,
-// never at once.
-func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, until time.Duration, ask *driver.Ask) uint32 {
+// CallOut sends what is asked, with the time that is left, whole by that time or not at all. It ends with exactly one
+// outcome, never at once.
+func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, by, until time.Duration, ask *driver.Ask) uint32 {
 	now := p.loop.Now()
 	m := p.members[to]
-	c := &call{rpc: rpc, n: n, to: to, sent: now, until: until}
+	c := &call{rpc: rpc, n: n, to: to, sent: now, by: min(by, until), until: until}
 	c.handle = p.calls.Put(c)
-	if c.handle == 0 || m == nil || until <= now {
+	if c.handle == 0 || m == nil || c.by <= now {
 		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
 		return uint32(c.handle)
 	}
-	p.dueAt(c, until)
+	p.dueAt(c, c.by)
 	if k := p.newest(m); k != nil {
 		k.call, c.conn = c, k
 		k.write(ask)
@@ -216,7 +217,7 @@
 	if !m.crowd.In(&p.crowded) {
 		p.crowded.Push(&m.crowd)
 	}
-	p.dueAt(c, min(c.until, p.loop.Now()+p.connectIn))
+	p.dueAt(c, min(c.by, p.loop.Now()+p.connectIn))
 }
 
 // dueAt ends the call-out then, unless it has ended.
@@ -233,13 +234,13 @@
 			return
 		}
 		next.Leave()
-		p.dueAt(c, c.until)
+		p.dueAt(c, c.by)
 		if k == nil {
 			p.connect(c, m)
 			continue
 		}
 		k.call, c.conn = c, k
-		k.start()
+		k.start() // also one whose time is over goes on no further than that
 	}
 	m.crowd.Leave()
 }
@@ -259,7 +260,7 @@
 	if m == nil {
 		return
 	}
-	c := &call{probe: true, to: to, sent: now, until: now + p.connectIn}
+	c := &call{probe: true, to: to, sent: now, by: now + p.connectIn, until: now + p.connectIn}
 	c.handle = p.calls.Put(c)
 	if c.handle == 0 {
 		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
@@ -442,6 +443,10 @@
 		k.drop()
 	case c.probe:
 		k.probe()
+	case k.pool.loop.Now() >= c.by: // it came up after this driver stood still
+		k.call, c.conn = nil, nil
+		k.rest()
+		k.pool.loop.Later(func() { k.pool.expire(c.handle) })
 	default:
 		k.write(c.ask)
 		c.ask = nil
@@ -541,19 +546,32 @@
 	})
 }
 
-// Cancel calls a call-out off.
+// Cancel calls a call-out off: from now on nothing of it is written. It ends later in this turn.
 func (p *Pool) Cancel(call uint32) {
-	h := slots.Handle(call)
-	if c := p.calls.Get(h); c != nil {
-		p.loop.Later(func() {
-			if p.calls.Get(h) == c {
-				p.letGo(c)
-				p.end(c, driver.Cancelled, nil)
-			}
-		})
+	if c := p.calls.Get(slots.Handle(call)); c != nil {
+		how := driver.Cancelled
+		if c.reached() < WhollyWritten {
+			how = driver.Moot
+		}
+		p.letGo(c)
+		p.loop.Later(func() { p.end(c, how, nil) })
 	}
 }
 
+// Withdraw calls a call-out off that was not written whole. It costs its member nothing.
+func (p *Pool) Withdraw(call uint32) {
+	if c := p.calls.Get(slots.Handle(call)); c != nil && c.reached() < WhollyWritten {
+		p.Cancel(call)
+	}
+}
+
+func (c *call) reached() Reach {
+	if c.conn == nil || c.conn.call != c {
+		return NotConnected
+	}
+	return c.conn.reached()
+}
+
 func (p *Pool) expire(h slots.Handle) {
 	c := p.calls.Get(h)
 	if c == nil {
@@ -562,9 +580,13 @@
 	if c.place.Value != nil && c.conn == nil {
 		p.ledger.Count("connects_waited_out")
 	}
-	reached, failed, how := NotConnected, false, driver.Failed
+	reached, failed, how := c.reached(), false, driver.Failed
+	if reached >= WhollyWritten && p.loop.Now() < c.until {
+		p.dueAt(c, c.until)
+		return
+	}
 	if c.conn != nil {
-		reached, failed, how = c.conn.reached(), c.conn.failed, c.conn.how
+		failed, how = c.conn.failed, c.conn.how
 	}
 	p.letGo(c)
 	if failed {
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -37,6 +37,8 @@
 	free            time.Duration // when it has done that for all that came
 	opened          int
 	entering, queue int // now; the most at any time
+	asked           int // whole queries that came
+	ended           int // connections that the pool ended
 }
 
 type visitor struct {
@@ -46,7 +48,7 @@
 }
 
 func (v *visitor) Opened()        {}
-func (v *visitor) Closed(error)   {}
+func (v *visitor) Closed(error)   { v.doors.ended++ }
 func (v *visitor) Panicked(error) {}
 
 func (v *visitor) Input(in []byte) int {
@@ -68,27 +70,38 @@
 	if size == 0 {
 		return 0
 	}
+	d.asked++
 	d.loop.At(d.loop.Now()+5*ms, func() {
 		v.stream.Send(pgwire.AppendReady(pgwire.AppendError(nil, false, "72000", "no", -1)))
 	})
 	return size
 }
 
-// crowd sends so many call-outs at once by a pool that has no connection yet.
-func crowd(t *testing.T, n int, work time.Duration, listens bool, until time.Duration) (*outcomes, *doors) {
+// scene is a pool that has no connection yet, and a member.
+type scene struct {
+	world  *sim.World
+	host   *sim.Host
+	loop   *loop.Loop
+	pool   *member.Pool
+	ended  *outcomes
+	member *doors
+}
+
+func newScene(t *testing.T, work time.Duration, listens bool) *scene {
 	t.Helper()
 	w := sim.New(1, time.Hour)
-	on := func(name string) *loop.Loop {
+	on := func(name string) (*sim.Host, *loop.Loop) {
 		h := w.Host(name)
 		l, err := loop.On(h, 1000, 1<<20)
 		if err != nil {
 			t.Fatal(err)
 		}
 		h.Serve(l, func() {})
-		return l
+		return h, l
 	}
 	at := netip.MustParseAddrPort("10.0.0.1:5432")
-	d := &doors{loop: on("member"), work: work}
+	d := &doors{work: work}
+	_, d.loop = on("member")
 	if listens {
 		if _, err := d.loop.Listen(at, 1<<12, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
 			v := &visitor{doors: d}
@@ -100,15 +113,23 @@
 			t.Fatal(err)
 		}
 	}
-	l := on("driver")
+	h, l := on("driver")
 	o := &outcomes{loop: l, ended: make(map[driver.RPC]driver.Outcome), counts: make(map[string]int)}
 	opens := comeback.NewOpens(250 * ms)
 	p := member.New(l, o, new(pg.Tongue), &opens, 250*ms, 15*time.Second)
 	p.Place(1, at)
+	return &scene{w, h, l, p, o, d}
+}
+
+// crowd sends so many call-outs at once.
+func crowd(t *testing.T, n int, work time.Duration, listens bool, until time.Duration) (*outcomes, *doors) {
+	t.Helper()
+	s := newScene(t, work, listens)
+	w, l, o, d, p := s.world, s.loop, s.ended, s.member, s.pool
 	ask := &driver.Ask{Before: []byte("/* id=x,c=look,d="), After: []byte(" */ SELECT 1")}
 	l.Later(func() {
 		for i := range n {
-			p.CallOut(driver.RPC(i+1), 0, 1, l.Now()+until, ask)
+			p.CallOut(driver.RPC(i+1), 0, 1, l.Now()+until, l.Now()+until, ask)
 		}
 	})
 	w.Run(time.Hour + until + time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -420,6 +420,9 @@
 		return nil
 	}
 	q.answered = true
+	for _, call := range q.calls { // nothing of it goes out any more, whether or not running ones may be cancelled
+		q.side.Withdraw(call)
+	}
 	n.loop.Forget(q.overdue)
 	q.door.rpcs--
 	n.Count("rpcs_" + how)
@@ -518,7 +521,7 @@
 
 func (n *Node) Now() time.Duration { return n.loop.Now() }
 
-func (n *Node) CallOut(id driver.RPC, to driver.Member, timeout time.Duration) {
+func (n *Node) CallOut(id driver.RPC, to driver.Member, by, timeout time.Duration) {
 	q := n.get(id)
 	if q == nil {
 		return
@@ -533,7 +536,7 @@
 	}
 	n.Count("callouts_sent")
 	q.out++
-	q.calls = append(q.calls, q.side.CallOut(id, len(q.calls), to, until, ask))
+	q.calls = append(q.calls, q.side.CallOut(id, len(q.calls), to, by, until, ask))
 }
 
 func (n *Node) Cancel(id driver.RPC, call int) {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -100,6 +100,9 @@
 			return nil, fmt.Errorf("%s: the settings give no %s", file, name)
 		}
 	}
+	if err := terms.New(s.Terms).Unusable(); err != nil {
+		return nil, fmt.Errorf("%s: settings: %w", file, err)
+	}
 	return s, nil
 }
 
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -308,7 +308,8 @@
 
 func (i *instance) Now() time.Duration { return i.since(i.table.clock) }
 
-func (i *instance) CallOut(rpc driver.RPC, to driver.Member, timeout time.Duration) {
+// CallOut sends at once: on this wire what is sent has reached its member, as far as repeats go.
+func (i *instance) CallOut(rpc driver.RPC, to driver.Member, _, timeout time.Duration) {
 	place := i.act(actCall)
 	i.put32(uint32(rpc))
 	i.putMember(to)
--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -36,6 +36,7 @@
 	to               driver.Member
 	sentAt, over     time.Duration // over: when the latest call-out is waited for no more
 	ran              bool
+	ranIn            driver.Zone
 	ranAt            time.Duration
 	ended, cancelled bool
 }
@@ -56,6 +57,7 @@
 	written map[driver.Session]time.Duration
 	forgot  []driver.Member
 	checks  bool
+	mixed   bool // groups have members in both zones
 	lax     bool // only draining binds, until the next start
 	watches int
 	pushed  map[driver.RPC]time.Duration
@@ -71,7 +73,7 @@
 var testMethods = []struct{ need, effect, repeats string }{
 	{"bounded", "idempotent", "all"}, {"session", "idempotent", "all"}, {"any", "idempotent", "all"},
 	{"fresh", "idempotent", "all"}, {"write", "tokened", "group"}, {"write", "non-idempotent", "all"},
-	{"write", "tokened", "all"},
+	{"write", "tokened", "all"}, {"write", "tokened", "zone"},
 }
 
 func newWorld(t testing.TB, seed uint64, checks string, more ...string) *world {
@@ -98,6 +100,7 @@
 		name, value, _ := strings.Cut(line, "=")
 		settings[name] = value
 	}
+	w.mixed = settings["mixed"] == "true"
 	w.lax = settings["rules.only_draining_binds"] == "true"
 	w.r = New(w, seed, settings)
 	for i := range 8 {
@@ -126,11 +129,19 @@
 		} else if n.standing == driver.Ready && !w.lax {
 			n.leftAt = -1
 		}
-		w.r.Listed(m, driver.Zone(m%2), driver.Group(m%2), n.standing, 1, n.started, false)
+		w.r.Listed(m, w.zoneOf(m), driver.Group(m%2), n.standing, 1, n.started, false)
 	}
 	w.r.ListEnds(how)
 }
 
+// zoneOf lets each group be in a zone of its own, or in both where they are mixed.
+func (w *world) zoneOf(m driver.Member) driver.Zone {
+	if w.mixed {
+		m /= 2
+	}
+	return driver.Zone(m % 2)
+}
+
 func (w *world) Now() time.Duration                      { return w.now }
 func (w *world) CloseIdle(driver.Member)                 {}
 func (w *world) Watch(bool)                              { w.watches++ }
@@ -150,7 +161,7 @@
 	}
 	q.ended = true
 	m := testMethods[q.method]
-	if harmless && (q.ran || q.open > 0) && (m.effect == "non-idempotent" || m.effect == "tokened" && m.repeats == "group") {
+	if harmless && (q.ran || q.open > 0) && (m.effect == "non-idempotent" || m.effect == "tokened" && m.repeats != "all") {
 		w.t.Fatalf("rule 2: %d pushed back after it may have run", id)
 	}
 }
@@ -163,7 +174,7 @@
 	q.cancelled = true
 }
 
-func (w *world) CallOut(id driver.RPC, to driver.Member, timeout time.Duration) {
+func (w *world) CallOut(id driver.RPC, to driver.Member, by, timeout time.Duration) {
 	w.calls++
 	q, n := w.rpcs[id], w.nodes[to]
 	if q == nil || n == nil || int(to%2) != q.group {
@@ -179,6 +190,15 @@
 	if q.ran && (m.effect == "non-idempotent" || m.effect == "tokened" && w.now >= q.ranAt+1200*ms) {
 		w.t.Fatalf("rule 2: %d sent again after it may have run", id)
 	}
+	if q.ran && m.repeats == "zone" && w.zoneOf(to) != q.ranIn {
+		w.t.Fatalf("rule 2: %d sent to another zone after it may have run", id)
+	}
+	if q.ran && m.effect == "tokened" && by >= q.ranAt+1200*ms {
+		w.t.Fatalf("rule 2: %d may reach its member %v after it may have run", id, by-q.ranAt)
+	}
+	if by <= w.now || by > q.until {
+		w.t.Fatalf("%d is to be sent by %v, at %v", id, by, w.now)
+	}
 	if n.leftAt >= 0 && w.now > n.leftAt+grace {
 		w.t.Fatalf("rule 3: call-out to %d, told to be leaving %v ago", to, w.now-n.leftAt)
 	}
@@ -257,7 +277,7 @@
 	}
 	q.open = 0
 	if !neverRan(how) && !q.ran {
-		q.ran, q.ranAt = true, q.sentAt
+		q.ran, q.ranAt, q.ranIn = true, q.sentAt, w.zoneOf(q.to)
 	}
 	if n.shownFor != n.started {
 		n.shown, n.shownFor = 0, n.started
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,6 +44,7 @@
 	outlier      = 3                      // times the predicted latency: more counts no more
 	smoothing    = 0.1                    // weight of the newest latency
 	early        = 5 * time.Millisecond   // rounding of positions and late ticks
+	way          = 20 * time.Millisecond  // to a member, from the moment at which an RPC is written
 )
 
 // What a method needs of its member's data: any, bounded, session, fresh or write.
@@ -56,13 +57,14 @@
 var distance = map[bool]float64{true: 1, false: 1.3}             // as it seems, by sharing our zone
 
 type method struct {
-	need                            string
-	idempotent, tokened, everywhere bool // everywhere: every member drops its repeats
-	window, soft, bound, limit      time.Duration
-	usual, timedAt, tryLasts        time.Duration // latency of late; when seen; length of a try
-	trySure                         int           // times seen so, less times not
-	utility, late                   float64
-	fades                           fade
+	need                       string
+	idempotent, tokened        bool
+	everywhere, zoned          bool // every member drops its repeats, or those of a zone do; else the group's
+	window, soft, bound, limit time.Duration
+	usual, timedAt, tryLasts   time.Duration // latency of late; when seen; length of a try
+	trySure                    int           // times seen so, less times not
+	utility, late              float64
+	fades                      fade
 }
 
 type member struct {
@@ -108,12 +110,13 @@
 	method                     *method
 	group                      *group
 	session                    driver.Session
-	arrived, until             time.Duration
+	arrived, until, by         time.Duration // by: when it must be whole at a member, if at any
 	tenant                     driver.Tenant
 	wanted, token              time.Duration // wanted: since when, over all tries
 	calls                      []callOut
 	out                        int           // call-outs without an outcome yet
 	ranAt, holdUntil           time.Duration // send of the first call-out that may have run; end of its wait
+	ranIn                      driver.Zone
 	mayHaveRun, held, answered bool
 	place                      chain.Link[*rpc] // among what its member holds
 }
@@ -147,7 +150,7 @@
 
 const never = driver.LongAgo // before all other times
 
-// ListPause is the longest until discovery is asked again after a call that failed: see internal/list for the sum.
+// ListPause is the longest until discovery is asked again after a call that failed: internal/list has the sum.
 const ListPause = 500 * time.Millisecond
 
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
@@ -164,22 +167,20 @@
 		m := &method{
 			utility: r.terms.Number(at+"utility", 1), late: r.terms.Number(at+"late_utility", 0),
 			idempotent: settings[at+"effect"] == "idempotent", tokened: settings[at+"effect"] == "tokened",
-			everywhere: settings[at+"repeats"] == "all", window: r.terms.Span(at + "window"),
-			soft: r.terms.Span(at + "soft_deadline"), limit: r.terms.Span(at + "limit"),
+			everywhere: settings[at+"repeats"] == "all", zoned: settings[at+"repeats"] == "zone",
+			window: r.terms.Span(at + "window"), soft: r.terms.Span(at + "soft_deadline"),
+			limit: r.terms.Span(at + "limit"),
 		}
 		m.need, m.usual = r.terms.Item("family_info.needs", i), m.soft/4
 		m.bound, _ = time.ParseDuration(r.terms.Item("family_info.bounds", i) + "us")
-		if m.need == "" || !strings.Contains("any bounded session fresh write", m.need) || m.soft <= 0 {
-			host.Fault("no usable family_info.needs or soft_deadline is given for " + at)
-		}
 		r.methods = append(r.methods, m)
 	}
 	for i := range int(r.terms.Number("tenants.count", 0)) {
 		quota := r.terms.Number("tenants."+strconv.Itoa(i)+".quota", 0) / r.terms.Number("drivers", 1)
 		r.quota, r.room = append(r.quota, quota), append(r.room, quota)
 	}
-	if len(r.methods) == 0 {
-		host.Fault("methods.count is missing or no number")
+	if err := r.terms.Unusable(); err != nil {
+		host.Fault(err.Error())
 	}
 	r.woken, r.halted, r.paced = host.Now(), never, host.Now()
 	host.WakeAfter(r.tick)
@@ -197,7 +198,8 @@
 		r.host.PushBack(id, 0)
 		return
 	}
-	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until}
+	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until,
+		by: until}
 	r.rpcs[id], q.token, q.tenant, q.place.Value = q, never, whose, q
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
@@ -238,7 +240,7 @@
 // route is the ordinary path: it sends the RPC where the design says, holds it briefly, or gives it up.
 func (r *Router) route(q *rpc) {
 	now, g, m := r.host.Now(), q.group, q.method
-	if now >= q.until-r.tick {
+	if now >= q.by-r.tick {
 		r.giveUp(q, 0)
 		return
 	}
@@ -333,7 +335,7 @@
 	if len(q.calls) == 1 && int(q.tenant) < len(r.room) {
 		r.room[q.tenant] = max(r.room[q.tenant]-1, 0)
 	}
-	r.host.CallOut(q.id, to.id, timeout)
+	r.host.CallOut(q.id, to.id, q.by, timeout)
 }
 
 // allPast tells whether every replica of the group is known to have applied past the token.
@@ -348,7 +350,7 @@
 
 // open tells whether a member may get this RPC now: it is ready, its trickle and its cold budget have room.
 func (r *Router) open(m *member, q *rpc, now time.Duration) bool {
-	if !m.sendable || m.doubted() && m.out.Count() > 0 ||
+	if !m.sendable || m.doubted() && m.out.Count() > 0 || q.mayHaveRun && q.method.zoned && m.zone != q.ranIn ||
 		m.trickle > 0 && (m.out.Count() >= m.trickle || now < m.nextTry) {
 		return false
 	}
@@ -371,7 +373,8 @@
 // from what warm ones answer, rounded to whole RPCs by dice that are cast once a window. A driver that has
 // an RPC for it in few windows only would use little of its part: there the dice count for what it asks of
 // the member in a window, more where all ask for more, this RPC has waited or has few members left to go to.
-// Where nothing warm is known, half of what clients ask for holds until more is shown. What a member has
+// Where nothing warm is known, half of what clients ask for holds until more is shown, parted among all that
+// there were of late: the few that are left can do no more for being few. What a member has
 // answered in a window it can do, and root(k) times that in the next is under k times it, bursts and all.
 func (r *Router) coldRoom(m *member, q *rpc, now time.Duration) bool {
 	if !r.cold(m, now) {
@@ -384,7 +387,7 @@
 	multiple, share := r.terms.Number("rules.cold_multiple", 1), r.terms.Number("rules.cold_share", 1)
 	share += (1 - share) * max(0, float64(now-m.started)/float64(r.terms.Span("rules.cold_lasts")))
 	all, left := m.group.takers(q)
-	work, borne := q.method.usual.Seconds(), max(r.borne, r.recent(r.fresh, now-r.cameAt)/max(r.ready, 1)/2)
+	work, borne := q.method.usual.Seconds(), max(r.borne, r.recent(r.fresh, now-r.cameAt)/float64(len(r.all))/2)
 	asked := max(borne, (r.recent(r.came, now-r.cameAt)-work)/max(r.ready, 1)) * all / left
 	asked *= 1 + max(0, (now-q.wanted).Seconds()/window.Seconds())
 	room := max(coldPart*share*multiple*borne, math.Sqrt(multiple)*r.recent(m.shown, now-m.shownAt))
@@ -594,7 +597,7 @@
 	if neverRan(how) {
 		c.turned = now
 	} else if !q.mayHaveRun {
-		q.mayHaveRun, q.ranAt = true, c.sent
+		q.mayHaveRun, q.ranAt, q.ranIn = true, c.sent, m.zone
 	}
 	if q.answered {
 		r.forget(q)
@@ -609,9 +612,9 @@
 	case how == driver.TimedOut, how == driver.Cancelled:
 		r.giveUp(q, r.terms.Span("caps.longest_wait"))
 	case how != driver.Moot && len(q.calls) < int(r.terms.Number("caps.callouts", 1)) &&
-		(!q.mayHaveRun || m.idempotent || m.tokened && now < q.ranAt+m.window-r.tick):
+		(!q.mayHaveRun || m.idempotent || m.tokened):
 		if q.mayHaveRun && !m.idempotent {
-			q.until = min(q.until, q.ranAt+m.window-r.tick)
+			q.by = min(q.by, q.ranAt+m.window-way)
 		}
 		r.route(q)
 	default:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -17,7 +17,7 @@
 	}
 	f.Fuzz(func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, []string{"none", "wait", "refuse"}[seed%3],
-			"rules.only_draining_binds="+[]string{"false", "true"}[seed%2])
+			"rules.only_draining_binds="+[]string{"false", "true"}[seed%2], "mixed="+[]string{"true", "false"}[seed/2%2])
 		w.least = 20
 		bad := []driver.Outcome{driver.Miss, driver.Full, driver.Failed, driver.NoConnection, driver.Broken, driver.TimedOut}
 		for range 4000 {
@@ -403,6 +403,37 @@
 	}
 }
 
+// All but one member of each group leave the list, and those two restart: they can do no more for being few.
+func TestTheLastColdMembersGetNoMoreForBeingFew(t *testing.T) {
+	w := newWorld(t, 1, "wait")
+	w.traffic(100, 10*ms, 0, 2) // a second's
+	asked, heaviest := w.r.fresh, 0.0
+	for _, m := range w.r.methods {
+		heaviest = max(heaviest, m.usual.Seconds())
+	}
+	for _, m := range w.order[2:] {
+		w.nodes[m].standing = driver.Gone
+	}
+	for _, m := range w.order[:2] {
+		w.nodes[m].started, w.nodes[m].sent, w.nodes[m].work = w.now, nil, nil
+	}
+	w.r.borne, w.most = 0, math.Inf(1) // nothing was ever known of warm ones
+	w.list(driver.Changes, w.order...)
+	w.step(2 * beat)
+	for range 100 {
+		w.take(2, 0)
+	}
+	for _, m := range w.order[:2] {
+		sent := 0.0
+		for _, work := range w.nodes[m].work {
+			sent += work
+		}
+		if most := coldPart*3*0.3*asked/8 + heaviest; sent == 0 || sent > most {
+			t.Errorf("%.2f s of work went to %d, %.2f at most were due", sent, m, most)
+		}
+	}
+}
+
 // The same load comes by few drivers or by many, one of them five times busier, after a start with nothing known or not;
 // then a replica of each group restarts, or all of a group, or a cold one takes over as primary. Together the drivers
 // stay within the budget in every window, and do not leave most of it unused.
