Who has gone is heard first; half-closes are told apart; descriptors kept back for discovery

Found by tests in simulated time, each at its place: the turn of the loop served sockets in the order of epoll, so after a halt a member's refusal, or a connection that had come up, was heard before the close and an attempt began (loop.Turn); more than 512 sockets were heard in several turns; where caps.cancel is not given, an RPC went on to its member when its connection came up or its buffer had room (node.answered). A half-close counted as gone: who reads on lost the answer. Now a status is sent to who sends no more, as a closed connection answers it with a reset; nothing more is begun for the RPC that is out, its answer is waited for, and what comes behind it is read 50 ms later. A client that sends its startup and its end at one go still counts as gone: nothing harmless can be said before it is let in. CancelRequest, until now ignored, ends the RPC of the connection whose secret it names (57014). Two descriptors are kept back for discovery (DialKept); where none is free a client that asks nothing gives way as well.

--- a/driver/seam.go
+++ b/driver/seam.go
@@ -62,6 +62,7 @@
 type Clerk interface {
 	Take(by Front, from Client, method Method, group Group, session Session, until, wrote time.Duration, repeat bool) RPC
 	ClientLeft(rpc RPC)
+	ClientParts(rpc RPC) // it may have left, or only reads on: what is out is waited for, nothing more is sent
 	FormOf(group Group) Form
 	Count(what string)
 }
--- a/internal/emu/play/cluster.go
+++ b/internal/emu/play/cluster.go
@@ -244,7 +244,7 @@
 	k.welcome = true
 	m.count(emu.Handshakes, 1)
 	if m.model.Build.Handshake == 0 {
-		k.stream.Send(pgwire.AppendWelcome(nil, 1))
+		k.stream.Send(pgwire.AppendWelcome(nil, 1, 1))
 		return
 	}
 	k.job = &emu.Job{Hello: true, Work: m.model.Build.Handshake, Done: func(r emu.Result) {
@@ -254,7 +254,7 @@
 			k.stream.CloseWhenSent()
 			return
 		}
-		k.stream.Send(pgwire.AppendWelcome(nil, 1))
+		k.stream.Send(pgwire.AppendWelcome(nil, 1, 1))
 		m.cluster.loop.Later(k.stream.Look)
 	}}
 	m.take(k.job)
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -9,6 +9,7 @@
 	"passtack/driver"
 	"passtack/internal/front"
 	"passtack/internal/loop"
+	"passtack/internal/pcg"
 	"passtack/internal/pgwire"
 	"passtack/internal/slots"
 )
@@ -22,6 +23,7 @@
 	tokened  map[driver.Method]bool
 	open     front.Ids
 	room     *front.Room
+	secrets  *pcg.Source
 }
 
 const bearable = 8 // messages of no use that a client may send
@@ -41,13 +43,14 @@
 	checked  int           // bytes from there on in which only whole heads were found
 	unclear  int           // messages that were of no use
 	answered time.Duration // when it last was
+	secret   uint32        // by which it may cancel
 }
 
 // Listen starts to take clients in. The methods are named in their order.
 func Listen(l *loop.Loop, clerk driver.Clerk, at netip.AddrPort, door loop.Door, open front.Ids, methods []string,
-	sessions, tokened []bool) (*Front, error) {
+	sessions, tokened []bool, seed uint64) (*Front, error) {
 	f := &Front{
-		loop: l, clerk: clerk, open: open, methods: make(map[string]driver.Method),
+		secrets: pcg.New(seed), loop: l, clerk: clerk, open: open, methods: make(map[string]driver.Method),
 		sessions: make(map[driver.Method]bool), tokened: make(map[driver.Method]bool),
 	}
 	for i, name := range methods {
@@ -56,7 +59,7 @@
 	}
 	var err error
 	f.room, err = front.Listen(l, at, pgwire.Most+1, door, clerk.Count, func(s *front.Seat) front.Guest {
-		return &client{Seat: s, front: f}
+		return &client{Seat: s, front: f, secret: f.secrets.Uint32()}
 	})
 	return f, err
 }
@@ -82,6 +85,26 @@
 	}
 }
 
+// Parting: a status is skipped by who reads on.
+func (c *client) Parting(pending bool) []byte {
+	if !c.started || c.Gone || !c.serving && !pending && len(c.Stream.Unread()) == 0 {
+		return nil
+	}
+	if c.serving {
+		c.front.clerk.ClientParts(c.rpc)
+	}
+	return pgwire.AppendParameter(nil, "client_encoding", "UTF8")
+}
+
+// cancel ends the RPC of a client that asks for it by another connection.
+func (f *Front) cancel(of driver.Client, secret uint32) {
+	if c := f.client(of); c != nil && c.secret == secret {
+		f.clerk.Count("clients_cancelled")
+		f.end(of, pgwire.AppendError(nil, false, "57014", "cancelled", -1), ready)
+		f.clerk.ClientLeft(c.rpc)
+	}
+}
+
 func (c *client) served() {
 	c.serving = false
 	c.Seat.Served()
@@ -183,12 +206,15 @@
 		c.unclear++
 		c.Stream.Send([]byte{'N'})
 	case code == pgwire.Cancel:
+		if process, secret, ok := pgwire.Cancelled(in[:size]); ok {
+			c.front.cancel(driver.Client(process), secret)
+		}
 		c.Close()
 	case code>>16 != pgwire.Version3>>16:
 		c.fail("0A000", "only version 3 of the protocol is spoken")
 	default:
 		c.started = true
-		c.Stream.Send(pgwire.AppendWelcome(nil, uint32(c.Handle)))
+		c.Stream.Send(pgwire.AppendWelcome(nil, uint32(c.Handle), c.secret))
 	}
 	return size
 }
--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -93,6 +93,9 @@
 	}
 }
 
+// GiveWay ends a connection that asks nothing, if there is one.
+func (r *Room) GiveWay() bool { return r.yield(true) }
+
 func (r *Room) accept(open func(loop.Owner) *loop.Stream) {
 	s := &Seat{room: r}
 	s.place.Value = s
@@ -207,6 +210,10 @@
 // was answered, and others may need the room.
 func (s *Seat) Rest() (ended bool) {
 	r := s.room
+	if s.Stream.Spent() && len(s.Stream.Unread()) == 0 { // it sends no more
+		s.Close()
+		return true
+	}
 	if (r.leaving || r.owed > 0) && len(s.Stream.Unread()) == 0 && s.Stream.Alive() {
 		r.owed = max(r.owed-1, 0)
 		s.Close()
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -123,7 +123,7 @@
 	}
 	if d.stream == nil {
 		var err error
-		if d.stream, err = d.loop.Dial(d.at, d, mostOf); err != nil {
+		if d.stream, err = d.loop.DialKept(d.at, d, mostOf); err != nil {
 			d.loop.Later(func() { d.failed(err) })
 			return
 		}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -25,7 +25,7 @@
 	sources       slots.Table[source]
 	dues          due.Queue[func()]
 	now           time.Duration
-	events        [512]Event
+	events        []Event // as many as there may be descriptors: all that has closed is heard in one turn
 	stopped       bool
 	spare         [][]byte  // read buffers of the common size that nobody uses
 	larger        int       // bytes that buffers of both directions take past the common size
@@ -33,6 +33,7 @@
 	starved       []*Stream // which wait for some of them
 	held          int       // descriptors from before
 	most, highest int       // more of them: that may be held, that ever were
+	kept          int       // of most, for DialKept alone
 	freed         []func()  // called when a descriptor is free again
 	// MakeRoom closes something that is idle; it tells whether it found anything.
 	MakeRoom func() bool
@@ -65,7 +66,13 @@
 }
 
 // Limit changes what New was told. What is held beyond it goes as it ends.
-func (l *Loop) Limit(most, budget int) { l.most, l.budget = max(most-l.held, 1), budget }
+func (l *Loop) Limit(most, budget int) {
+	l.most, l.budget = max(most-l.held, 1), budget
+	l.kept = min(2, l.most/16)
+	if size := max(512, l.most+1); len(l.events) < size {
+		l.events = make([]Event, size)
+	}
+}
 
 // Most tells how many descriptors may be held.
 func (l *Loop) Most() int { return l.most }
@@ -119,13 +126,21 @@
 
 // Turn waits no longer than told, serves what is ready once, and then all that is due.
 func (l *Loop) Turn(wait time.Duration, rung func()) error {
-	n, err := l.system.Wait(l.events[:], wait)
+	n, err := l.system.Wait(l.events, wait)
 	if err != nil {
 		return err
 	}
 	l.now = l.system.Clock()
+	for _, e := range l.events[:n] { // who has gone is heard before anything that could still be sent for it
+		if s, ok := l.sources.Get(e.Handle).(*Stream); ok && s.leaves(e.Ready) {
+			l.guard(func() { s.ready(e.Ready) }, s.broken)
+		}
+	}
 	for _, e := range l.events[:n] {
 		if s := l.sources.Get(e.Handle); s != nil {
+			if c, ok := s.(*Stream); ok && c.leaves(e.Ready) {
+				continue
+			}
 			l.guard(func() { s.ready(e.Ready) }, s.broken)
 		} else if e.Handle == 0 {
 			l.guard(rung, nil)
@@ -160,9 +175,9 @@
 	act()
 }
 
-// room tells whether one more descriptor may be opened; what is idle goes first.
-func (l *Loop) room() bool {
-	return l.sources.Count() < l.most || l.MakeRoom() && l.sources.Count() < l.most
+// room tells whether one more descriptor may be opened and so many are left; what is idle goes first.
+func (l *Loop) room(kept int) bool {
+	return l.sources.Count() < l.most-kept || l.MakeRoom() && l.sources.Count() < l.most-kept
 }
 
 // Open counts the descriptors that are held, and the most that ever were.
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -210,3 +210,41 @@
 		t.Fatalf("order %s, %v", order, err)
 	}
 }
+
+type idler struct{}
+
+func (idler) Opened()             {}
+func (idler) Closed(error)        {}
+func (idler) Panicked(error)      {}
+func (idler) Input(in []byte) int { return len(in) }
+
+// What everything else waits for gets a descriptor when all others are taken.
+func TestSomeDescriptorsAreKeptBack(t *testing.T) {
+	_, at, stop := run(t, 200, 1<<20, true)
+	defer stop()
+	l, err := New(60, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	opened := 0
+	for ; opened < 100; opened++ {
+		if _, err := l.Dial(at, idler{}, 1<<10); err == ErrNoRoom {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if opened < 20 || opened == 100 {
+		t.Fatalf("%d connections were opened", opened)
+	}
+	if _, err := l.DialKept(at, idler{}, 1<<10); err != nil {
+		t.Error("none was kept back:", err)
+	}
+	for range 5 {
+		if _, err = l.DialKept(at, idler{}, 1<<10); err == ErrNoRoom {
+			return
+		}
+	}
+	t.Error("more were opened than may be held")
+}
--- a/internal/loop/sim/sockets.go
+++ b/internal/loop/sim/sockets.go
@@ -351,6 +351,11 @@
 	return s != nil && len(s.in) == 0 && !s.ended && s.failure == nil
 }
 
+func (h *Host) Pending(fd int) bool {
+	s := h.sockets[fd]
+	return s != nil && len(s.in) > 0
+}
+
 func (h *Host) Arrived(fd int) time.Duration {
 	if s := h.sockets[fd]; s != nil && s.latest != 0 {
 		return (h.world.now - s.latest).Truncate(time.Millisecond)
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -19,6 +19,13 @@
 	Panicked(cause error) // while it was served; the owner says its last words and closes
 }
 
+// Parter is an owner that may owe something to who sends no more. It begins nothing for them from now on, and gives harmless
+// words to say: who has closed answers those with a reset, who only reads on takes them. Nil tells that nothing is owed, or
+// that nothing harmless can be said.
+type Parter interface {
+	Parting(pending bool) []byte // pending: something that was not read has come
+}
+
 // ErrNoRoom tells that all descriptors are in use.
 var ErrNoRoom = errors.New("no descriptor is free")
 
@@ -35,6 +42,9 @@
 	owner   Owner
 	from    *Listener // that took it in, if any
 	opening bool
+	parted  bool // the other side sends no more, and may read on
+	weighed bool // it does read on
+	spent   bool // all that it sent has been read
 	full    bool // reading rests, since the buffer is full
 	starved bool // reading rests, since all buffers together are full
 	last    bool // closes once all is written
@@ -61,7 +71,16 @@
 
 // Dial begins a connect; the owner is told how it ends. No more than most bytes of input are held.
 func (l *Loop) Dial(to netip.AddrPort, owner Owner, most int) (*Stream, error) {
-	if !l.room() {
+	return l.dial(to, owner, most, l.kept)
+}
+
+// DialKept is Dial that may take one of the descriptors that are kept back: without it nothing else goes on.
+func (l *Loop) DialKept(to netip.AddrPort, owner Owner, most int) (*Stream, error) {
+	return l.dial(to, owner, most, 0)
+}
+
+func (l *Loop) dial(to netip.AddrPort, owner Owner, most, kept int) (*Stream, error) {
+	if !l.room(kept) {
 		return nil, ErrNoRoom
 	}
 	fd, err := l.system.Dial(to)
@@ -73,7 +92,10 @@
 
 func (s *Stream) interest() uint32 {
 	events := uint32(ended)
-	if !s.full && !s.starved && !s.opening && !s.last {
+	if s.parted { // it is told of for as long as the stream stands
+		events = 0
+	}
+	if !s.full && !s.starved && !s.opening && !s.last && (!s.parted || s.weighed && !s.spent) {
 		events |= readable
 	}
 	if s.opening || s.Unsent() > 0 {
@@ -99,8 +121,8 @@
 	if s.closed {
 		return
 	}
-	if s.from != nil && events&ended != 0 { // who came and left waits for nothing, whatever was said
-		s.fail(io.EOF)
+	if s.leaves(events) {
+		s.parts(events)
 		return
 	}
 	if events&readable != 0 && !s.full && !s.starved && !s.last {
@@ -110,6 +132,39 @@
 	}
 }
 
+// leaves tells of a client that has gone, or sends no more.
+func (s *Stream) leaves(events uint32) bool {
+	return s.from != nil && !s.opening && events&(ended|broken) != 0
+}
+
+// readsOn is how long a client that sends no more is given to answer with a reset. Until then nothing more of it is
+// read, and nothing that waits has gone on for longer than it may after a client has gone.
+const readsOn = 50 * time.Millisecond
+
+// parts ends the stream of a client that has gone: who came and left waits for nothing, whatever was said. Who only ended
+// the sending side and reads on is owed what it asked for.
+func (s *Stream) parts(events uint32) {
+	if s.parted && events&broken == 0 {
+		return
+	}
+	if p, ok := s.owner.(Parter); ok && !s.parted && !s.last && events&broken == 0 {
+		if words := p.Parting(s.loop.system.Pending(s.fd)); words != nil {
+			s.parted = true
+			s.Send(words)
+			s.update()
+			s.loop.At(s.loop.now+readsOn, func() {
+				s.weighed = true
+				s.update()
+			})
+			return
+		}
+	}
+	s.fail(io.EOF)
+}
+
+// Spent tells that the other side has sent all that it will, and that all of it was read.
+func (s *Stream) Spent() bool { return s.spent }
+
 func (s *Stream) broken(cause error) {
 	if s.busy = false; !s.closed {
 		s.owner.Panicked(cause)
@@ -141,6 +196,12 @@
 	case err != nil:
 		s.fail(err)
 		return
+	case n == 0 && s.parted:
+		s.spent = true
+		if s.update(); s.owner.(Parter).Parting(false) == nil {
+			s.fail(io.EOF)
+		}
+		return
 	case n == 0:
 		s.fail(io.EOF)
 		return
@@ -455,7 +516,7 @@
 			n.pause()
 			return false
 		}
-		if !n.loop.room() {
+		if !n.loop.room(n.loop.kept) {
 			n.pause()
 			return false
 		}
--- a/internal/loop/system.go
+++ b/internal/loop/system.go
@@ -43,6 +43,7 @@
 	Write(fd int, parts [][]byte) (int, error)
 	Outcome(fd int) error         // of a connect that is over
 	Quiet(fd int) bool            // neither ended nor something to read
+	Pending(fd int) bool          // something to read has come
 	Arrived(fd int) time.Duration // how long ago the latest byte came
 	Goodbye(fd int)               // ends the sending side
 	Take(fd int, into []byte) (n int, from netip.AddrPort, err error)
@@ -57,7 +58,7 @@
 	poll, bell int
 	began      time.Time
 	zero       time.Duration
-	events     [512]unix.EpollEvent
+	events     []unix.EpollEvent
 }
 
 func newKernel() (*kernel, error) {
@@ -90,7 +91,10 @@
 	if most >= 0 {
 		wait = int(min((most+time.Millisecond-1)/time.Millisecond, 60000))
 	}
-	n, err := unix.EpollWait(k.poll, k.events[:min(len(events), len(k.events))], wait)
+	if len(k.events) < len(events) {
+		k.events = make([]unix.EpollEvent, len(events))
+	}
+	n, err := unix.EpollWait(k.poll, k.events[:len(events)], wait)
 	if err == unix.EINTR {
 		err = nil
 	}
@@ -190,6 +194,12 @@
 	return err == unix.EAGAIN
 }
 
+func (k *kernel) Pending(fd int) bool {
+	var one [1]byte
+	n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 func (k *kernel) Arrived(fd int) time.Duration {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -62,7 +62,7 @@
 		d.free = max(d.free, d.loop.Now()) + d.work
 		d.loop.At(d.free, func() {
 			d.entering--
-			v.stream.Send(pgwire.AppendWelcome(nil, 1))
+			v.stream.Send(pgwire.AppendWelcome(nil, 1, 1))
 		})
 		return size
 	}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -44,7 +44,7 @@
 					}
 					if !began {
 						began = true
-						c.Write(pgwire.AppendWelcome(nil, 1))
+						c.Write(pgwire.AppendWelcome(nil, 1, 1))
 						continue
 					}
 					c.Write(pgwire.AppendReady(note(rows(`{"Id":"k"}`), role)))
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -150,7 +150,7 @@
 			return
 		}
 		io.CopyN(io.Discard, r, int64(length[2])<<8+int64(length[3])-4)
-		c.Write(pgwire.AppendWelcome(nil, 1))
+		c.Write(pgwire.AppendWelcome(nil, 1, 1))
 	}
 	for {
 		var call *called
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -43,7 +43,8 @@
 		switch f.Protocol {
 		case "pg":
 			var portal *pgfront.Front
-			if portal, err = pgfront.Listen(n.loop, n, at, d.limits(), open, names, sessions, tokened); err == nil {
+			if portal, err = pgfront.Listen(n.loop, n, at, d.limits(), open, names, sessions, tokened,
+				n.site.Seed+uint64(d.number)); err == nil {
 				d.front, d.room = portal, portal.Room()
 			}
 		case "odata":
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,8 +190,14 @@
 	n.pools[form] = pool
 }
 
-// makeRoom ends the connection to a member that was idle for longest.
+// makeRoom ends the connection to a member that was idle for longest, and lets a client that asks nothing go as well: its
+// descriptor is free a moment later, and the next need no member's.
 func (n *Node) makeRoom() bool {
+	for _, d := range n.doors {
+		if d.room.GiveWay() {
+			break
+		}
+	}
 	var oldest *member.Pool
 	first := time.Duration(0)
 	for _, p := range n.pools {
@@ -444,6 +450,17 @@
 	}
 }
 
+// ClientParts tells the module that nothing more may be sent for the RPC, of which only what is out may still be answered.
+func (n *Node) ClientParts(id driver.RPC) {
+	if q := n.get(id); q != nil && !q.answered {
+		n.Count("clients_parted")
+		n.module.ClientParts(id)
+		for _, call := range q.calls {
+			q.side.Withdraw(call)
+		}
+	}
+}
+
 var outcomes = map[driver.Outcome]string{
 	driver.OK: "ok", driver.Failed: "failed", driver.Full: "full", driver.TimedOut: "timed_out",
 	driver.NoConnection: "no_connection", driver.Broken: "broken", driver.Cancelled: "cancelled",
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -97,7 +97,7 @@
 		return
 	}
 	io.CopyN(io.Discard, r, int64(binary.BigEndian.Uint32(length[:]))-4)
-	c.Write(pgwire.AppendWelcome(nil, 1))
+	c.Write(pgwire.AppendWelcome(nil, 1, 1))
 	for {
 		kind, body, err := message(r)
 		if err != nil || kind != 'Q' {
@@ -401,7 +401,7 @@
 		"gives an error whose code is none": pgwire.AppendReady(pgwire.AppendError(nil, false, "5330\x01", "no", -1)),
 		"gives a parameter without a value": append(append(pgwire.AppendHead(nil, 'S', 2), "x\x00"...), whole...),
 		"turns it away but not wholly":      append(pgwire.AppendError(nil, false, "53300", "no", -1), 'Z', 0, 0, 0, 5, 'x'),
-		"greets instead":                    pgwire.AppendWelcome(nil, 1),
+		"greets instead":                    pgwire.AppendWelcome(nil, 1, 1),
 	} {
 		i := len(breaks)
 		breaks = append(breaks, breaks[0])
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -99,7 +99,7 @@
 		_, size, err := pgwire.First(in)
 		if err == nil && size > 0 {
 			c.began = true
-			c.stream.Send(pgwire.AppendWelcome(nil, 1))
+			c.stream.Send(pgwire.AppendWelcome(nil, 1, 1))
 		}
 		return size
 	}
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -160,8 +160,8 @@
 	return binary.BigEndian.AppendUint32(append(out, kind), uint32(body)+4)
 }
 
-// AppendWelcome lets a client in.
-func AppendWelcome(out []byte, key uint32) []byte {
+// AppendWelcome lets a client in, which may name the process and its secret to cancel.
+func AppendWelcome(out []byte, process, secret uint32) []byte {
 	out = binary.BigEndian.AppendUint32(AppendHead(out, 'R', 4), 0)
 	for _, p := range [][2]string{
 		{"server_version", "16.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"},
@@ -169,8 +169,16 @@
 	} {
 		out = AppendParameter(out, p[0], p[1])
 	}
-	out = binary.BigEndian.AppendUint32(AppendHead(out, 'K', 8), key)
-	return AppendReady(binary.BigEndian.AppendUint32(out, key))
+	out = binary.BigEndian.AppendUint32(AppendHead(out, 'K', 8), process)
+	return AppendReady(binary.BigEndian.AppendUint32(out, secret))
+}
+
+// Cancelled reads whom the message that asks for a cancel names.
+func Cancelled(in []byte) (process, secret uint32, ok bool) {
+	if len(in) != 16 {
+		return 0, 0, false
+	}
+	return binary.BigEndian.Uint32(in[8:]), binary.BigEndian.Uint32(in[12:]), true
 }
 
 func AppendParameter(out []byte, name, value string) []byte {
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -12,7 +12,7 @@
 	"INSERT INTO items (id, doc) VALUES ('7f3a9c21e0b4d655', '\\x9f03') RETURNING doc"
 
 func conversation() []byte {
-	out := AppendWelcome(nil, 7)
+	out := AppendWelcome(nil, 7, 7)
 	out = AppendEmpty(out)
 	out = AppendDone(out, "SET")
 	out = AppendError(out, false, "53300", "pushed back", 40)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,8 +1,8 @@
 // Package rules is passtack's decision module: every decision of a driver is in this file.
 //
 // A host (internal/node on sockets, cmd/simhost on the bench) makes one Router per driver with New and calls
-// one method for each thing that happens: ListBegins, Listed, ListEnds, Take, Ended, Probed, Told, ClientLeft
-// and Wake. The Router acts by calling the host (driver.Host). docs/design.md tells what the design settles.
+// one method for each thing that happens: ListBegins, Listed, ListEnds, Take, Ended, Probed, Told, ClientLeft,
+// ClientParts and Wake. The Router acts by calling the host (driver.Host). docs/design.md tells what the design settles.
 package rules
 
 import (
@@ -760,6 +760,15 @@
 	}
 }
 
+// ClientParts takes what is out as the last attempt of an RPC.
+func (r *Router) ClientParts(id driver.RPC) {
+	if q := r.rpcs[id]; q != nil {
+		if q.by = r.host.Now(); q.held {
+			r.giveUp(q, 0)
+		}
+	}
+}
+
 // noticeHalt tells a halt of this driver by its late timer. What came meanwhile is handled all at once:
 // neither the members' silence nor the latencies of that moment mean anything.
 func (r *Router) noticeHalt(now time.Duration) {
