A repeatable request that nobody waits for is waited for where it is out, and goes no further

OData's repeatable requests went on by further attempts after their client had left (errand.leave). Now what is out may still bring the outcome for a repeat, and nothing more is sent, unless another client waits for the same. Its test has two attempts where one is wanted without it.

--- a/internal/front/odata/errand.go
+++ b/internal/front/odata/errand.go
@@ -137,7 +137,7 @@
 	}
 	switch verdict {
 	case repeat.Run:
-		e.entry = entry
+		e.entry, entry.Runner = entry, uint32(e.handle)
 		return true
 	case repeat.Joins:
 		f.clerk.Count("repeats_joined")
@@ -261,28 +261,39 @@
 	}
 }
 
-// leave tells that the client of the errand has left. What it may ask for again goes on, so that a repeat finds the
-// outcome.
+// leave tells that the client of the errand has left. What it may ask for again is waited for where it is out, so that a
+// repeat finds the outcome; no further attempt begins unless somebody else waits for the same.
 func (e *errand) leave() {
 	if e.ended {
 		return
 	}
+	f := e.front
 	if e.work = nil; e.entry != nil {
-		e.front.clerk.Count("repeats_left_running")
+		f.clerk.Count("repeats_left_running")
+		e.part()
 		return
 	}
-	f := e.front
 	e.ended = true
 	f.errands.Drop(e.handle)
 	f.loop.Forget(e.giveUp)
 	delete(f.open, e.id)
 	if e.joined != nil {
 		e.joined.Leave(uint32(e.handle))
+		if runner := f.errands.Get(slots.Handle(e.joined.Runner)); runner != nil {
+			runner.part()
+		}
 		return
 	}
 	f.clerk.ClientLeft(e.rpc)
 }
 
+// part lets nothing more be sent for an errand that nobody waits for.
+func (e *errand) part() {
+	if e.work == nil && len(e.entry.Waiters) == 0 {
+		e.front.clerk.ClientParts(e.rpc)
+	}
+}
+
 // encode keeps an answer to be told again; of one that is too long what matters is kept.
 func encode(r *reply, most int) []byte {
 	if len(r.fields)+len(r.body) > most {
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -615,3 +615,56 @@
 		t.Errorf("counted %v", d.counts)
 	}
 }
+
+// The client of a repeatable create leaves while its attempt is out, which then fails: no further attempt begins, unless
+// another client waits for the same. A repeat runs it anew.
+func TestARepeatableRequestThatNobodyWaitsForGoesNoFurther(t *testing.T) {
+	arrived := make(chan string, 99)
+	g := startCluster(t, "pg", 2, func(c *called, nth int) fault {
+		arrived <- c.key
+		if c.key != "first" && nth == 1 {
+			return fails
+		}
+		return fine
+	})
+	_, at := serveOData(t, "", 200, g, "")
+	dialHTTP(t, at).ask("POST", "Applications", `{"Id":"first"}`) // shows who the primary is
+	for len(arrived) > 0 {
+		<-arrived
+	}
+	g.mutex.Lock()
+	g.wait = 300 * time.Millisecond
+	g.mutex.Unlock()
+	for key, joined := range map[string]bool{"alone": false, "joined": true} {
+		sent := time.Now()
+		body := fmt.Sprintf(`{"Id":%q,"Status":"sent"}`, key)
+		c := dialHTTP(t, at)
+		c.Write(request("POST", "Applications", body, repeatable("id-"+key, sent)...))
+		for got := ""; got != key; got = <-arrived {
+		}
+		other := make(chan int, 1)
+		if joined {
+			second := dialHTTP(t, at)
+			second.Write(request("POST", "Applications", body, repeatable("id-"+key, sent)...))
+			go func() { other <- second.hear("POST").status }()
+			dialHTTP(t, at).ask("GET", "$metadata", "") // which came later, and is answered: the second has been read
+		}
+		c.Close()
+		want := 1
+		if joined {
+			if want = 2; <-other != 201 {
+				t.Error("who waited for the same was not served")
+			}
+		} else {
+			time.Sleep(700 * time.Millisecond) // it has failed, and what follows would have come at once
+		}
+		g.mutex.Lock()
+		if g.nth[key] != want {
+			t.Errorf("%s: %d attempts, wanted %d", key, g.nth[key], want)
+		}
+		g.mutex.Unlock()
+		if got := dialHTTP(t, at).ask("POST", "Applications", body, repeatable("id-"+key, sent)...); got.status != 201 {
+			t.Errorf("%s, asked again: %d %s", key, got.status, got.body)
+		}
+	}
+}
--- a/internal/repeat/repeat.go
+++ b/internal/repeat/repeat.go
@@ -58,6 +58,7 @@
 	Until   time.Duration // no call-out may begin later
 	Answer  []byte        // once it is done; nil where it was too long to keep
 	Waiters []uint32      // who waits for the same answer
+	Runner  uint32        // who asks members for it
 
 	key       string
 	content   uint64
