--- a/internal/list/told_test.go
+++ b/internal/list/told_test.go
@@ -293,3 +293,34 @@
 		}
 	}
 }
+
+// A driver rests on another's watch, which tells nothing: it asks by itself as often as the task does, and one of its calls
+// may find silence.
+func TestARestingDriverIsToldInTime(t *testing.T) {
+	const word = 300 * time.Millisecond // the task looks at each word of the holder
+	for _, what := range []trouble{none, silent, resetAtOnce, failing} {
+		for step := time.Duration(0); step < 4*time.Second; step += 400 * time.Millisecond {
+			calls := 0
+			w, r, g := world(t, func(int) trouble {
+				if calls++; calls%3 == 0 {
+					return what
+				}
+				return none
+			})
+			var catch func()
+			catch = func() {
+				r.list.Catch()
+				r.loop.At(r.loop.Now()+list.Longest+word, catch)
+			}
+			r.loop.At(r.loop.Now()+time.Millisecond, func() {
+				r.list.Rest(true)
+				catch()
+			})
+			for at := time.Second; at < 30*time.Second; at += 4 * time.Second {
+				g.loop.At(time.Hour+at+step, g.changed)
+			}
+			w.Run(time.Hour + 45*time.Second)
+			check(t, fmt.Sprintf("%d, %v", what, step), r, g, 0)
+		}
+	}
+}
