Call-outs are attempts, in code, counters and log

The field's word, whole identifiers across the tree; mechanical, no change of behaviour. Kept results under docs/results stay as they were written.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -21,7 +21,7 @@
 // LongAgo stands for a start that the list gives no time for.
 const LongAgo = time.Duration(-1 << 62)
 
-// Outcome is how a call-out or a probe ended.
+// Outcome is how an attempt or a probe ended.
 type Outcome uint8
 
 const (
@@ -76,9 +76,9 @@
 // that a position and a time compare.
 type Host interface {
 	Now() time.Duration
-	// CallOut sends an RPC that is whole at the member's by that time, or not at all. Timeout 0: until the client stops waiting.
-	CallOut(rpc RPC, to Member, by, timeout time.Duration)
-	Cancel(rpc RPC, callOut int)
+	// Attempt sends an RPC that is whole at the member's by that time, or not at all. Timeout 0: until the client stops waiting.
+	Attempt(rpc RPC, to Member, by, timeout time.Duration)
+	Cancel(rpc RPC, attempt int)
 	PushBack(rpc RPC, comeBack time.Duration) // final; comeBack 0: none said
 	Abort(rpc RPC)                            // final
 	Probe(m Member)
--- a/driver/seam.go
+++ b/driver/seam.go
@@ -69,7 +69,7 @@
 
 // Side is one protocol with members, and the connections to those who speak it.
 type Side interface {
-	CallOut(rpc RPC, n int, to Member, by, until time.Duration, ask *Ask) (call uint32) // written whole by then, or never
+	Attempt(rpc RPC, n int, to Member, by, until time.Duration, ask *Ask) (call uint32) // written whole by then, or never
 	Cancel(call uint32)
 	Withdraw(call uint32) // ends it unless it was written whole
 	Probe(m Member)
@@ -77,9 +77,9 @@
 	Forget(m Member)
 }
 
-// Ledger is told how call-outs and probes end.
+// Ledger is told how attempts and probes end.
 type Ledger interface {
-	CallOutEnded(rpc RPC, n int, from Member, how Outcome, took, pos time.Duration, role Role, report []float64, a *Answer)
+	AttemptEnded(rpc RPC, n int, from Member, how Outcome, took, pos time.Duration, role Role, report []float64, a *Answer)
 	Probed(m Member, ok bool, took time.Duration, report []float64)
 	Count(what string)
 }
--- a/internal/comeback/stages.go
+++ b/internal/comeback/stages.go
@@ -8,7 +8,7 @@
 const (
 	Listing Stage = iota // it serves from the list that it was started with
 	Proving              // discovery has told a list; not every group that was asked for has proven its primary
-	Warming              // it still pushes more back than usual, or call-outs wait for connections
+	Warming              // it still pushes more back than usual, or attempts wait for connections
 	Whole
 )
 
@@ -78,7 +78,7 @@
 	}
 }
 
-// Look moves on to the next stage where its condition is met or its time is up; waits counts the call-outs that wait for a
+// Look moves on to the next stage where its condition is met or its time is up; waits counts the attempts that wait for a
 // connection. It tells whether the stage has changed. A look that comes much too late tells that the driver stood still:
 // all that it knows is old, and it begins anew.
 func (r *Return) Look(now time.Duration, waits int) (changed bool) {
--- a/internal/comeback/stages_test.go
+++ b/internal/comeback/stages_test.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// What does not come is not waited for: no list, no primary, pushbacks without end, call-outs that wait.
+// What does not come is not waited for: no list, no primary, pushbacks without end, attempts that wait.
 func TestStagesEndWithTheirTime(t *testing.T) {
 	for _, waits := range []int{0, 7} {
 		r := NewReturn(0)
--- a/internal/emu/emu_test.go
+++ b/internal/emu/emu_test.go
@@ -47,7 +47,7 @@
 	return c, NewGroup(0, election, c, chance, members...)
 }
 
-// ask sends one call-out and notes what came back.
+// ask sends one attempt and notes what came back.
 func ask(m *Member, j *Job) *Result {
 	got := new(Result)
 	got.How = driver.TimedOut
@@ -127,7 +127,7 @@
 			c.run(each)
 		}
 		if quick := each == 20*ms; m.Tipped() != false && !quick {
-			t.Errorf("tipped by one call-out each %v", each)
+			t.Errorf("tipped by one attempt each %v", each)
 		}
 	}
 	c, g := newGroup(1)
--- a/internal/emu/ledger.go
+++ b/internal/emu/ledger.go
@@ -13,13 +13,13 @@
 	TurnedAway = "turned_away" // connections that it had no room for
 	Handshakes = "handshakes"  // connections that it let in
 	OpenMost   = "open"        // the most that it held at once
-	CallOuts   = "callouts"
+	Attempts   = "attempts"
 	Probes     = "probes"
 	Scouts     = "scouts"     // writes at members that were never primary
 	Stale      = "stale"      // writes at members that are primary no more
 	Behind     = "behind"     // reads turned away by members that are too far behind
-	Drained    = "drained"    // call-outs at members that drain
-	Fulls      = "full"       // call-outs that found the queue full
+	Drained    = "drained"    // attempts at members that drain
+	Fulls      = "full"       // attempts that found the queue full
 	Lists      = "lists"      // requests for the list or its changes
 	Worth      = "worth"      // utility that first tries ask for
 	Got        = "got"        // utility that was answered, by when the RPC began
--- a/internal/emu/member.go
+++ b/internal/emu/member.go
@@ -21,7 +21,7 @@
 // Build is what a member is made of.
 type Build struct {
 	Cores    int
-	Queue    int           // call-outs that may wait; more are turned away
+	Queue    int           // attempts that may wait; more are turned away
 	Cold     float64       // part of its capacity that it has right after a start
 	Warm     time.Duration // after a start until it has all of it
 	Multiple float64       // of what it can do at that moment: more sent within Tips tips it over while it is cold
@@ -37,7 +37,7 @@
 	Lies        bool          // it tells a position that it has not reached
 }
 
-// Job is one call-out as a member gets it.
+// Job is one attempt as a member gets it.
 type Job struct {
 	RPC     string
 	Token   string // "": it has none
@@ -125,7 +125,7 @@
 	return m.Group.seenBy(m)
 }
 
-// Take gets a call-out. It says whether it was taken at all: a member that is down takes none.
+// Take gets an attempt. It says whether it was taken at all: a member that is down takes none.
 func (m *Member) Take(j *Job) bool {
 	if !m.up {
 		return false
@@ -235,7 +235,7 @@
 	m.say(j, driver.OK, effect)
 }
 
-// say answers a call-out, in a moment of its own.
+// say answers an attempt, in a moment of its own.
 func (m *Member) say(j *Job, how driver.Outcome, effect bool) {
 	if j.gone && how != driver.OK {
 		return
@@ -252,7 +252,7 @@
 	})
 }
 
-// Drop lets a call-out go whose driver has given it up: waiting work is dropped, running work goes on.
+// Drop lets an attempt go whose driver has given it up: waiting work is dropped, running work goes on.
 func (m *Member) Drop(j *Job) {
 	j.gone = true
 	if !j.began {
--- a/internal/emu/play/cluster.go
+++ b/internal/emu/play/cluster.go
@@ -295,7 +295,7 @@
 		job.After = now - method.Bound
 	}
 	c.record.Arrived(id, m.model.Name, now)
-	m.count(emu.CallOuts, 1)
+	m.count(emu.Attempts, 1)
 	switch isPrimary := m.model.Role() == driver.Primary; {
 	case m.model.Drains():
 		m.count(emu.Drained, 1)
--- a/internal/emu/play/emulate.go
+++ b/internal/emu/play/emulate.go
@@ -51,6 +51,6 @@
 	if err := l.Run(func() {}); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "callouts=%d\n", record.Arrivals())
+	fmt.Fprintf(out, "attempts=%d\n", record.Arrivals())
 	return c.fault
 }
--- a/internal/emu/play/result.go
+++ b/internal/emu/play/result.go
@@ -155,7 +155,7 @@
 // Table writes what clients, members and discovery saw in each second, over all places.
 func (r *Result) Table(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	columns := []string{emu.Worth, emu.Got, emu.PushedOff, emu.Lost, emu.Connects, emu.Handshakes, emu.TurnedAway, emu.CallOuts, emu.Fulls, emu.Probes,
+	columns := []string{emu.Worth, emu.Got, emu.PushedOff, emu.Lost, emu.Connects, emu.Handshakes, emu.TurnedAway, emu.Attempts, emu.Fulls, emu.Probes,
 		emu.Scouts, emu.Stale, emu.Behind, emu.Lists}
 	fmt.Fprintf(w, "second\t%s\tcold\t\n", strings.Join(columns, "\t"))
 	for n := range r.Ledger.Seconds() {
@@ -190,14 +190,14 @@
 	Cold    float64 // the most that a cold member was sent of what tips it
 	Stale   float64 // writes at members that are primary no more
 	Behind  float64 // reads at members too far behind
-	Drained float64 // call-outs at members that drain
+	Drained float64 // attempts at members that drain
 }
 
 // calm is how long before a fall counts as usual, at most.
 const calm = 8 * time.Second
 
 // Loads that are compared, in the order in which they are shown.
-var loads = []string{emu.Connects, emu.Handshakes, emu.OpenMost, emu.CallOuts, emu.Probes, emu.Scouts, emu.Lists, emu.TurnedAway, emu.Fulls}
+var loads = []string{emu.Connects, emu.Handshakes, emu.OpenMost, emu.Attempts, emu.Probes, emu.Scouts, emu.Lists, emu.TurnedAway, emu.Fulls}
 
 // Returns measures all falls.
 func (r *Result) Returns() (all []Return) {
--- a/internal/emu/record.go
+++ b/internal/emu/record.go
@@ -89,7 +89,7 @@
 	return ""
 }
 
-// Arrived notes a call-out at a member, Ran that it ran; stale tells what its data lacked, "" where nothing.
+// Arrived notes an attempt at a member, Ran that it ran; stale tells what its data lacked, "" where nothing.
 func (r *Record) Arrived(id, member string, at time.Duration) {
 	driver := ""
 	if a := r.asked[id]; a != nil {
@@ -134,7 +134,7 @@
 	r.down[driver] = append(r.down[driver], span{from, to})
 }
 
-// Held notes that what a driver had sent could arrive late: then a call-out's arrival does not tell when it was sent.
+// Held notes that what a driver had sent could arrive late: then an attempt's arrival does not tell when it was sent.
 func (r *Record) Held(driver string, from, to time.Duration) {
 	r.held[driver] = append(r.held[driver], span{from, to})
 }
@@ -244,5 +244,5 @@
 	return hash.Sum64()
 }
 
-// Arrivals counts the call-outs that members got.
+// Arrivals counts the attempts that members got.
 func (r *Record) Arrivals() int { return len(r.arrivals) }
--- a/internal/emu/rig/rig_test.go
+++ b/internal/emu/rig/rig_test.go
@@ -131,7 +131,7 @@
 					t.Errorf("%s got %.0f connections in a second, %.0f are allowed and %.0f are usual", l.Where, l.After, want.connects, l.Before)
 				}
 				if back.Cold >= 1 || back.Drained > 0 || back.Stale > want.stale {
-					t.Errorf("%.2f of what tips a cold member, %v call-outs at drained ones, %v writes at former primaries", back.Cold, back.Drained, back.Stale)
+					t.Errorf("%.2f of what tips a cold member, %v attempts at drained ones, %v writes at former primaries", back.Cold, back.Drained, back.Stale)
 				}
 			}
 		})
@@ -201,7 +201,7 @@
 		"late":           {trouble("delay", `from = ["clients"];to = ["d0"];by = "300ms"`), func(r *play.Result) bool { return r.Latency(90) > 500 && r.Latency(30) < 200 }},
 		"lossy":          {trouble("loss", `on = [0, 1, 2];times = 0.5`), func(r *play.Result) bool { return r.Latency(80) > 150 && r.Latency(10) < 100 }},
 		"thin":           {trouble("thin", `from = ["clients"];to = ["d0"];rate = 400`), func(r *play.Result) bool { return r.Latency(90) > 300 && part(r, 1) > 0.99 }},
-		"a member alone": {trouble("partition", `islands = [["drivers", "m0..1"], ["m2"]]`), func(r *play.Result) bool { return r.Utility > 0.8 && r.Ledger.Sum(emu.CallOuts, 2, 3) > 60 }},
+		"a member alone": {trouble("partition", `islands = [["drivers", "m0..1"], ["m2"]]`), func(r *play.Result) bool { return r.Utility > 0.8 && r.Ledger.Sum(emu.Attempts, 2, 3) > 60 }},
 		"no list":        {trouble("cut", `from = ["drivers"];to = ["discovery"]`), func(r *play.Result) bool { return r.Utility > 0.99 }},
 		"flapping":       {trouble("cut", `on = [1];every = "100ms"`), func(r *play.Result) bool { return part(r, 1) > 0.6 && part(r, 0) > 0.99 }},
 	} {
@@ -405,7 +405,7 @@
 			t.Fatal(err)
 		}
 		if n := r.Ledger.Sum(emu.Drained, 4, 6); (n > 0) != drained {
-			t.Errorf("%s: %v call-outs at a member that had drained before the start", folder, n)
+			t.Errorf("%s: %v attempts at a member that had drained before the start", folder, n)
 		}
 	}
 }
--- a/internal/emu/rig/views_test.go
+++ b/internal/emu/rig/views_test.go
@@ -189,9 +189,9 @@
 			t.Fatal(err)
 		}
 		late := r.Ledger.Sum(emu.Drained, 4, 6) // a second until the list has it, a quarter of one of grace
-		t.Logf("talks: %v, %v call-outs at the member after its drain was known to one", talks, late)
+		t.Logf("talks: %v, %v attempts at the member after its drain was known to one", talks, late)
 		if (late > 0) == talks || len(r.Broken) > 0 {
-			t.Errorf("%v call-outs, %v", late, r.Broken)
+			t.Errorf("%v attempts, %v", late, r.Broken)
 		}
 	}
 }
--- a/internal/member/endings_test.go
+++ b/internal/member/endings_test.go
@@ -7,11 +7,11 @@
 	"passtack/driver"
 )
 
-// send sends one call-out in the pool's next turn, which must be written whole by then.
+// send sends one attempt in the pool's next turn, which must be written whole by then.
 func (s *scene) send(rpc driver.RPC, by, until time.Duration, size int) (call *uint32) {
 	call = new(uint32)
 	ask := &driver.Ask{Before: []byte("/* id=x,c=look,d="), After: append([]byte(" */ SELECT 1"), make([]byte, size)...)}
-	s.loop.Later(func() { *call = s.pool.CallOut(rpc, 0, 1, by, until, ask) })
+	s.loop.Later(func() { *call = s.pool.Attempt(rpc, 0, 1, by, until, ask) })
 	return call
 }
 
@@ -23,7 +23,7 @@
 	}
 }
 
-// A connection comes up after the last moment at which the call-out may be written.
+// A connection comes up after the last moment at which the attempt may be written.
 func TestNothingIsWrittenOnceItMayNotBe(t *testing.T) {
 	s := newScene(t, 100*ms, true)
 	s.send(1, time.Hour+50*ms, time.Hour+time.Second, 0)
--- a/internal/member/odata/odata.go
+++ b/internal/member/odata/odata.go
@@ -47,7 +47,7 @@
 	return append(httpwire.AppendField(out, "Host", t.Host), "\r\n"...)
 }
 
-// Hear reads one answer. What the status says of the call-out: done, also where the entity is missing or another than
+// Hear reads one answer. What the status says of the attempt: done, also where the entity is missing or another than
 // wanted; 421 and 425 turned away untouched, as no primary and too far behind; 429 and 503 turned away unseen; what is
 // left has failed and may have run.
 func (t *Tongue) Hear(in []byte, greeted, probing, ended bool, now time.Duration, h *member.Heard) {
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -1,5 +1,5 @@
-// Package member is what every protocol with members needs once: connections, of which each carries one call-out or
-// probe at a time, and how far a call-out had come when it ended. A Tongue speaks the protocol.
+// Package member is what every protocol with members needs once: connections, of which each carries one attempt or
+// probe at a time, and how far an attempt had come when it ended. A Tongue speaks the protocol.
 package member
 
 import (
@@ -23,7 +23,7 @@
 type Tongue interface {
 	// Hello opens a connection; where there is nothing to say it is ready at once.
 	Hello() []byte
-	// Call words the call-out for which so much time is left. The parts are good until the next call.
+	// Call words the attempt for which so much time is left. The parts are good until the next call.
 	Call(ask *driver.Ask, left time.Duration) [][]byte
 	// Probe words a question that costs next to nothing.
 	Probe() []byte
@@ -46,7 +46,7 @@
 	Answer driver.Answer
 }
 
-// Reach is how far a call-out had come.
+// Reach is how far an attempt had come.
 type Reach uint8
 
 const (
@@ -58,7 +58,7 @@
 
 var reaches = [...]string{"not_connected", "partly_written", "wholly_written", "answer_begun"}
 
-// Failure tells how a call-out ended without an answer of the member's, and how far it had come. That alone
+// Failure tells how an attempt ended without an answer of the member's, and how far it had come. That alone
 // picks the outcome.
 type Failure struct {
 	Reached  Reach
@@ -115,7 +115,7 @@
 	idleFor   time.Duration // a member closes what was idle for so long
 	heard     Heard
 	opens     *comeback.Opens
-	crowded   chain.Chain[*member] // some call-outs wait for connections to these
+	crowded   chain.Chain[*member] // some attempts wait for connections to these
 }
 
 type member struct {
@@ -129,7 +129,7 @@
 	crowd   chain.Link[*member]
 }
 
-// call is a call-out, or a probe where it has no statement.
+// call is an attempt, or a probe where it has no statement.
 type call struct {
 	handle slots.Handle
 	rpc    driver.RPC
@@ -155,7 +155,7 @@
 	ready   bool // the member has let us in
 	ended   bool
 	call    *call
-	written bool // the call-out was handed to the stream
+	written bool // the attempt was handed to the stream
 	since   time.Duration
 	due     loop.Due // it must be up then, or go on with its answer
 	begun   bool
@@ -183,9 +183,9 @@
 	}
 }
 
-// CallOut sends what is asked, with the time that is left, whole by that time or not at all. It ends with exactly one
+// Attempt sends what is asked, with the time that is left, whole by that time or not at all. It ends with exactly one
 // outcome, never at once.
-func (p *Pool) CallOut(rpc driver.RPC, n int, to driver.Member, by, until time.Duration, ask *driver.Ask) uint32 {
+func (p *Pool) Attempt(rpc driver.RPC, n int, to driver.Member, by, until time.Duration, ask *driver.Ask) uint32 {
 	now := p.loop.Now()
 	m := p.members[to]
 	c := &call{rpc: rpc, n: n, to: to, sent: now, by: min(by, until), until: until}
@@ -209,7 +209,7 @@
 	return uint32(c.handle)
 }
 
-// wait lets a call-out wait for a connection, no longer than one may take to come up.
+// wait lets an attempt wait for a connection, no longer than one may take to come up.
 func (p *Pool) wait(c *call, m *member) {
 	p.ledger.Count("connects_waited")
 	c.place.Value, m.crowd.Value = c, m
@@ -220,13 +220,13 @@
 	p.dueAt(c, min(c.by, p.loop.Now()+p.connectIn))
 }
 
-// dueAt ends the call-out then, unless it has ended.
+// dueAt ends the attempt then, unless it has ended.
 func (p *Pool) dueAt(c *call, at time.Duration) {
 	p.loop.Forget(c.due)
 	c.due = p.loop.At(at, func() { p.expire(c.handle) })
 }
 
-// serve gives connections to call-outs that wait: those that rest, and new ones as far as more may be opened.
+// serve gives connections to attempts that wait: those that rest, and new ones as far as more may be opened.
 func (p *Pool) serve(m *member) {
 	for next := m.waiting.First(); next != nil; next = m.waiting.First() {
 		c, k := next.Value, p.newest(m)
@@ -353,7 +353,7 @@
 
 func (k *conn) Panicked(cause error) { k.broken(cause) }
 
-// broken ends the connection, and with it the call-out that it carries.
+// broken ends the connection, and with it the attempt that it carries.
 func (k *conn) broken(cause error) {
 	k.drop()
 	k.Closed(cause)
@@ -423,7 +423,7 @@
 	return WhollyWritten
 }
 
-// write sends the call-out, with the time that is left for it.
+// write sends the attempt, with the time that is left for it.
 func (k *conn) write(ask *driver.Ask) {
 	k.begun, k.failed, k.written = false, false, true
 	k.stream.Send(k.pool.tongue.Call(ask, max(k.call.until-k.pool.loop.Now(), time.Millisecond))...)
@@ -453,7 +453,7 @@
 	}
 }
 
-// rest keeps the connection for the next call-out.
+// rest keeps the connection for the next attempt.
 func (k *conn) rest() {
 	k.since = k.pool.loop.Now()
 	k.member.idle = append(k.member.idle, k)
@@ -546,7 +546,7 @@
 	})
 }
 
-// Cancel calls a call-out off: from now on nothing of it is written. It ends later in this turn.
+// Cancel calls an attempt off: from now on nothing of it is written. It ends later in this turn.
 func (p *Pool) Cancel(call uint32) {
 	if c := p.calls.Get(slots.Handle(call)); c != nil {
 		how := driver.Cancelled
@@ -558,7 +558,7 @@
 	}
 }
 
-// Withdraw calls a call-out off that was not written whole. It costs its member nothing.
+// Withdraw calls an attempt off that was not written whole. It costs its member nothing.
 func (p *Pool) Withdraw(call uint32) {
 	if c := p.calls.Get(slots.Handle(call)); c != nil && c.reached() < WhollyWritten {
 		p.Cancel(call)
@@ -596,7 +596,7 @@
 	p.fail(c, Failure{reached, true, errSlow})
 }
 
-// letGo parts a call-out from its connection, which ends unless it has yet to come up.
+// letGo parts an attempt from its connection, which ends unless it has yet to come up.
 func (p *Pool) letGo(c *call) {
 	c.place.Leave()
 	k := c.conn
@@ -611,7 +611,7 @@
 func (p *Pool) fail(c *call, why Failure) {
 	if m, now := p.members[c.to], p.loop.Now(); m != nil && now >= m.quiet {
 		m.quiet = now + loggedEach
-		slog.Warn("callout_failed", "member", fmt.Sprintf("%012x", uint64(c.to)), "endpoint", m.at, "reach", reaches[why.Reached],
+		slog.Warn("attempt_failed", "member", fmt.Sprintf("%012x", uint64(c.to)), "endpoint", m.at, "reach", reaches[why.Reached],
 			"timed_out", why.TimedOut, "cause", why.Cause)
 	}
 	p.end(c, why.Outcome(), nil)
@@ -633,7 +633,7 @@
 		p.ledger.Probed(c.to, how == driver.OK, took, heard.Report)
 		return
 	}
-	p.ledger.CallOutEnded(c.rpc, c.n, c.to, how, took, heard.Answer.Position, heard.Role, heard.Report, &heard.Answer)
+	p.ledger.AttemptEnded(c.rpc, c.n, c.to, how, took, heard.Answer.Position, heard.Role, heard.Report, &heard.Answer)
 }
 
 // CloseIdle ends the idle connections to a member.
@@ -684,7 +684,7 @@
 	return true
 }
 
-// Waiting counts the call-outs that wait for a connection.
+// Waiting counts the attempts that wait for a connection.
 func (p *Pool) Waiting() (waiting int) {
 	for at := p.crowded.First(); at != nil; at = at.Next() {
 		waiting += at.Value.waiting.Count()
@@ -692,6 +692,6 @@
 	return waiting
 }
 
-// Open counts the connections, Out the call-outs that have no outcome yet.
+// Open counts the connections, Out the attempts that have no outcome yet.
 func (p *Pool) Open() int { return p.conns.Count() }
 func (p *Pool) Out() int  { return p.calls.Count() }
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -24,7 +24,7 @@
 	counts map[string]int
 }
 
-func (o *outcomes) CallOutEnded(q driver.RPC, _ int, _ driver.Member, how driver.Outcome, _, _ time.Duration, _ driver.Role, _ []float64, _ *driver.Answer) {
+func (o *outcomes) AttemptEnded(q driver.RPC, _ int, _ driver.Member, how driver.Outcome, _, _ time.Duration, _ driver.Role, _ []float64, _ *driver.Answer) {
 	o.ended[q], o.latest = how, o.loop.Now()
 }
 func (o *outcomes) Probed(driver.Member, bool, time.Duration, []float64) {}
@@ -121,7 +121,7 @@
 	return &scene{w, h, l, p, o, d}
 }
 
-// crowd sends so many call-outs at once.
+// crowd sends so many attempts at once.
 func crowd(t *testing.T, n int, work time.Duration, listens bool, until time.Duration) (*outcomes, *doors) {
 	t.Helper()
 	s := newScene(t, work, listens)
@@ -129,12 +129,12 @@
 	ask := &driver.Ask{Before: []byte("/* id=x,c=look,d="), After: []byte(" */ SELECT 1")}
 	l.Later(func() {
 		for i := range n {
-			p.CallOut(driver.RPC(i+1), 0, 1, l.Now()+until, l.Now()+until, ask)
+			p.Attempt(driver.RPC(i+1), 0, 1, l.Now()+until, l.Now()+until, ask)
 		}
 	})
 	w.Run(time.Hour + until + time.Second)
 	if len(o.ended) != n || p.Out() != 0 || p.Waiting() != 0 {
-		t.Errorf("%d of %d call-outs have ended, %d are out, %d wait", len(o.ended), n, p.Out(), p.Waiting())
+		t.Errorf("%d of %d attempts have ended, %d are out, %d wait", len(o.ended), n, p.Out(), p.Waiting())
 	}
 	return o, d
 }
@@ -158,7 +158,7 @@
 	o, d := crowd(t, 30, time.Minute, true, 2*time.Second)
 	for q, how := range o.ended {
 		if how != driver.NoConnection {
-			t.Errorf("call-out %d ended as %d", q, how)
+			t.Errorf("attempt %d ended as %d", q, how)
 		}
 	}
 	if took := o.latest - time.Hour; took > 600*ms || d.opened > 4 {
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -20,7 +20,7 @@
 // What follows stands in for a group whose members speak either protocol with one behaviour, after the public
 // descriptions of both.
 
-// fault is what a member does with one call-out.
+// fault is what a member does with one attempt.
 type fault uint8
 
 const (
@@ -38,7 +38,7 @@
 
 func (f fault) mayRun() bool { return f == fine || f >= fails }
 
-// called is one call-out as a member saw it.
+// called is one attempt as a member saw it.
 type called struct {
 	id, token, key, verb string
 	method               string // where the protocol names it
@@ -204,7 +204,7 @@
 	return c
 }
 
-// answer does with a call-out what the plan says, and notes what it saw.
+// answer does with an attempt what the plan says, and notes what it saw.
 func (m *clusterMember) answer(conn net.Conn, c *called) (open bool) {
 	g := m.of
 	g.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,7 +33,7 @@
 	"passtack/rules"
 )
 
-// rpc is kept until it is answered and all its call-outs have ended.
+// rpc is kept until it is answered and all its attempts have ended.
 type rpc struct {
 	door     *door
 	client   driver.Client
@@ -74,7 +74,7 @@
 	last       driver.Member // the latest number given
 	zones      []string
 	counts     map[string]int
-	most       int // call-outs of one RPC
+	most       int // attempts of one RPC
 	tick       time.Duration
 	fault      error
 	ending     time.Duration // when all must be answered, once a planned stop was begun
@@ -106,7 +106,7 @@
 		lines: new(logs.Lines), simulated: simulated,
 		site: site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
 		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
-		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.callouts", 1)),
+		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.attempts", 1)),
 		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door), opens: comeback.NewOpens(site.span("caps.connect_timeout", 250*time.Millisecond)),
 	}
 	load := member.Load{Columns: site.columns(), Word: terms.Word}
@@ -411,7 +411,7 @@
 func (n *Node) overdue(id driver.RPC) {
 	if q := n.get(id); q != nil && !q.answered {
 		n.Count("rpcs_overdue")
-		slog.Error("overdue", "rpc", id, "callouts", len(q.calls))
+		slog.Error("overdue", "rpc", id, "attempts", len(q.calls))
 		n.Abort(id)
 		n.module.ClientLeft(id)
 	}
@@ -467,10 +467,10 @@
 	driver.Moot: "moot", driver.Miss: "miss",
 }
 
-// CallOutEnded passes an answer on, unless the RPC has got one, and tells the module in any case.
-func (n *Node) CallOutEnded(id driver.RPC, call int, from driver.Member, how driver.Outcome, took, pos time.Duration,
+// AttemptEnded passes an answer on, unless the RPC has got one, and tells the module in any case.
+func (n *Node) AttemptEnded(id driver.RPC, call int, from driver.Member, how driver.Outcome, took, pos time.Duration,
 	role driver.Role, report []float64, a *driver.Answer) {
-	n.Count("callouts_" + outcomes[how])
+	n.Count("attempts_" + outcomes[how])
 	q := n.get(id)
 	if q == nil {
 		return
@@ -538,7 +538,7 @@
 
 func (n *Node) Now() time.Duration { return n.loop.Now() }
 
-func (n *Node) CallOut(id driver.RPC, to driver.Member, by, timeout time.Duration) {
+func (n *Node) Attempt(id driver.RPC, to driver.Member, by, timeout time.Duration) {
 	q := n.get(id)
 	if q == nil {
 		return
@@ -551,9 +551,9 @@
 	if q.answered || len(q.calls) >= n.most || ask == nil {
 		until = 0
 	}
-	n.Count("callouts_sent")
+	n.Count("attempts_sent")
 	q.out++
-	q.calls = append(q.calls, q.side.CallOut(id, len(q.calls), to, by, until, ask))
+	q.calls = append(q.calls, q.side.Attempt(id, len(q.calls), to, by, until, ask))
 }
 
 func (n *Node) Cancel(id driver.RPC, call int) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -420,7 +420,7 @@
 		if b.act == nil {
 			b.member.listener.Close()
 		}
-		wanted["callouts_"+b.outcome]++
+		wanted["attempts_"+b.outcome]++
 		targets = append(targets, target(i, i, b.member.listener.Addr(), "in_service"))
 	}
 	d := start(t, "", 100, listOf(1, true, targets...))
@@ -446,7 +446,7 @@
 				}
 			}
 			if len(ran) > 1 && b.want == aborted {
-				t.Errorf("%s: %d call-outs of which one may have run", b.what, len(ran))
+				t.Errorf("%s: %d attempts of which one may have run", b.what, len(ran))
 			}
 		})
 	}
@@ -454,17 +454,17 @@
 	d.stop()
 	for outcome, count := range wanted {
 		if d.counts[outcome] < count {
-			t.Errorf("%d call-outs counted as %s, at least %d wanted", d.counts[outcome], outcome, count)
+			t.Errorf("%d attempts counted as %s, at least %d wanted", d.counts[outcome], outcome, count)
 		}
 	}
-	if d.counts["callouts_sent"] != d.outcomes() || d.rpcs.Count() != 0 || d.pools[0].Out() != 0 {
-		t.Errorf("%d RPCs and %d call-outs are left, counted %v", d.rpcs.Count(), d.pools[0].Out(), d.counts)
+	if d.counts["attempts_sent"] != d.outcomes() || d.rpcs.Count() != 0 || d.pools[0].Out() != 0 {
+		t.Errorf("%d RPCs and %d attempts are left, counted %v", d.rpcs.Count(), d.pools[0].Out(), d.counts)
 	}
 }
 
 func (d *running) outcomes() (sum int) {
 	for _, name := range outcomes {
-		sum += d.counts["callouts_"+name]
+		sum += d.counts["attempts_"+name]
 	}
 	return sum
 }
@@ -539,10 +539,10 @@
 			all.Wait()
 			close(results)
 			d.stop()
-			callOuts := make(map[string][]*query)
+			attempts := make(map[string][]*query)
 			for i, m := range members {
 				for _, q := range m.seen() {
-					callOuts[field(q.text, "id")] = append(callOuts[field(q.text, "id")], q)
+					attempts[field(q.text, "id")] = append(attempts[field(q.text, "id")], q)
 					if field(q.text, "cluster") != strconv.Itoa(i/2) {
 						t.Errorf("member %d was sent %q", i, q.text)
 					}
@@ -551,16 +551,16 @@
 			oks := 0
 			for r := range results {
 				mayHaveRun := 0
-				for i, q := range callOuts[r.id] {
+				for i, q := range attempts[r.id] {
 					if q.mayHaveRun {
 						mayHaveRun++
 					}
 					if r.answer != "left" && q.began.After(r.answered.Add(100*time.Millisecond)) {
-						t.Errorf("%s: a call-out after the answer %s", r.id, r.answer)
+						t.Errorf("%s: an attempt after the answer %s", r.id, r.answer)
 					}
-					for _, o := range callOuts[r.id][:i] {
+					for _, o := range attempts[r.id][:i] {
 						if q.began.Before(o.ended) && o.began.Before(q.ended) && !(q.mayHaveRun && o.mayHaveRun && r.answer == "left") {
-							t.Errorf("%s: two call-outs at once", r.id)
+							t.Errorf("%s: two attempts at once", r.id)
 						}
 					}
 				}
@@ -586,7 +586,7 @@
 				t.Errorf("only %d of 240 RPCs are ok", oks)
 			}
 			taken := d.counts["rpcs_ok"] + d.counts["rpcs_pushed_back"] + d.counts["rpcs_aborted"] + d.counts["rpcs_left"]
-			if d.rpcs.Count() != 0 || d.counts["rpcs_taken"] != taken || d.counts["rpcs_overdue"] != 0 || d.counts["callouts_sent"] != d.outcomes() {
+			if d.rpcs.Count() != 0 || d.counts["rpcs_taken"] != taken || d.counts["rpcs_overdue"] != 0 || d.counts["attempts_sent"] != d.outcomes() {
 				t.Errorf("%d RPCs are left, counted %v", d.rpcs.Count(), d.counts)
 			}
 		})
@@ -746,10 +746,10 @@
 	select {
 	case <-gone:
 	case <-time.After(5 * time.Second):
-		t.Error("the call-out goes on")
+		t.Error("the attempt goes on")
 	}
 	d.stop()
-	if d.counts["rpcs_left"] != 1 || d.counts["callouts_cancelled"] != 1 {
+	if d.counts["rpcs_left"] != 1 || d.counts["attempts_cancelled"] != 1 {
 		t.Errorf("counted %v", d.counts)
 	}
 }
@@ -1044,7 +1044,7 @@
 	}
 	ask("a2", "ok value of a2")
 	if len(first.seen()) != 2 || len(second.seen()) != 1 {
-		t.Fatalf("%d and %d call-outs", len(first.seen()), len(second.seen()))
+		t.Fatalf("%d and %d attempts", len(first.seen()), len(second.seen()))
 	}
 	change(listOf(4, false, target(1, 0, second.listener.Addr(), "terminating")))
 	ask("a3", pushedBack)
@@ -1053,7 +1053,7 @@
 	change(listOf(5, true, target(2, 0, first.listener.Addr(), "in_service")))
 	ask("a5", "ok value of a5")
 	if len(second.seen()) != 1 {
-		t.Errorf("%d call-outs reached a member that drains", len(second.seen())-1)
+		t.Errorf("%d attempts reached a member that drains", len(second.seen())-1)
 	}
 }
 
--- a/internal/node/odata_test.go
+++ b/internal/node/odata_test.go
@@ -121,7 +121,7 @@
 				t.Errorf("a create is answered with %v", created.header)
 			}
 			d.stop()
-			if d.rpcs.Count() != 0 || d.counts["rpcs_overdue"] != 0 || d.counts["callouts_sent"] != d.outcomes() {
+			if d.rpcs.Count() != 0 || d.counts["rpcs_overdue"] != 0 || d.counts["attempts_sent"] != d.outcomes() {
 				t.Errorf("counted %v", d.counts)
 			}
 			for _, call := range g.seen() {
@@ -271,7 +271,7 @@
 }
 
 // step is one RPC of a scripted run: a read, one of its own session's, a tokened write, or a write that must never run
-// twice; and what members do with its call-outs in turn.
+// twice; and what members do with its attempts in turn.
 type step struct {
 	key, kind string
 	faults    []fault
--- a/internal/node/promises_test.go
+++ b/internal/node/promises_test.go
@@ -360,7 +360,7 @@
 	half.Close()
 	time.Sleep(100 * time.Millisecond)
 	if now := len(g.seen()); now != before {
-		t.Errorf("%d call-outs of half a batch", now-before)
+		t.Errorf("%d attempts of half a batch", now-before)
 	}
 
 	// A batch longer than its time: what was not sent by then never is, and the client hears of all before it is up.
@@ -395,7 +395,7 @@
 	atClose := len(g.seen())
 	time.Sleep(400 * time.Millisecond)
 	if now := len(g.seen()); now > atClose || now == sent {
-		t.Errorf("%d call-outs before the client left, %d after", atClose-sent, now-atClose)
+		t.Errorf("%d attempts before the client left, %d after", atClose-sent, now-atClose)
 	}
 	d.stop()
 	if d.rpcs.Count() != 0 {
@@ -547,7 +547,7 @@
 		t.Errorf("afterwards: %d %s", got.status, got.body)
 	}
 	if calls := len(g.seen()); calls != 1 {
-		t.Errorf("a member saw %d call-outs", calls)
+		t.Errorf("a member saw %d attempts", calls)
 	}
 	d.stop()
 }
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -31,7 +31,7 @@
 	members  []*simMember
 	drivers  []*simDriver
 	answers  map[string]string // by id
-	ran      map[string]int    // call-outs that may have run, by id
+	ran      map[string]int    // attempts that may have run, by id
 	sent     int
 	hostOf   map[string]*sim.Host
 	lateCall int
--- a/internal/repeat/repeat.go
+++ b/internal/repeat/repeat.go
@@ -55,7 +55,7 @@
 
 // Entry is one request that was asked.
 type Entry struct {
-	Until   time.Duration // no call-out may begin later
+	Until   time.Duration // no attempt may begin later
 	Answer  []byte        // once it is done; nil where it was too long to keep
 	Waiters []uint32      // who waits for the same answer
 	Runner  uint32        // who asks members for it
@@ -122,10 +122,10 @@
 	return Run, e
 }
 
-// bound is until when call-outs may begin: while the group still drops a repeat, unless this surely is none.
+// bound is until when attempts may begin: while the group still drops a repeat, unless this surely is none.
 func (m *Memory) bound(e *Entry, now time.Duration) time.Duration {
 	if m.Sticky && !e.mayHave && e.firstSent > m.horizon {
-		return now + time.Hour // the module alone bounds its call-outs
+		return now + time.Hour // the module alone bounds its attempts
 	}
 	return e.firstSent + e.window - margin
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -217,7 +217,7 @@
 		wrote := time.Duration(ago * float64(time.Millisecond))
 		i.module.Take(rpc, method, group, tenant, session, i.since(until), wrote, options&2 != 0)
 	case evEnded:
-		rpc, how, callOut, took := driver.RPC(r.u32()), r.u8(), int(r.u16()), r.span()
+		rpc, how, attempt, took := driver.RPC(r.u32()), r.u8(), int(r.u16()), r.span()
 		complete, note, m := r.u8() != 0, r.u32(), r.member()
 		t.report = r.report(t.report)
 		if r.short {
@@ -228,7 +228,7 @@
 			return fmt.Errorf("outcome %d is unknown", how)
 		}
 		pos := time.Duration(note/4) * time.Millisecond
-		i.module.Ended(rpc, callOut, m, outcome, took, complete, pos, driver.Role(note&3), t.report)
+		i.module.Ended(rpc, attempt, m, outcome, took, complete, pos, driver.Role(note&3), t.report)
 	case evAbandoned:
 		rpc := driver.RPC(r.u32())
 		if r.short {
@@ -308,8 +308,8 @@
 
 func (i *instance) Now() time.Duration { return i.since(i.table.clock) }
 
-// CallOut sends at once: on this wire what is sent has reached its member, as far as repeats go.
-func (i *instance) CallOut(rpc driver.RPC, to driver.Member, _, timeout time.Duration) {
+// Attempt sends at once: on this wire what is sent has reached its member, as far as repeats go.
+func (i *instance) Attempt(rpc driver.RPC, to driver.Member, _, timeout time.Duration) {
 	place := i.act(actCall)
 	i.put32(uint32(rpc))
 	i.putMember(to)
@@ -317,10 +317,10 @@
 	i.done(place)
 }
 
-func (i *instance) Cancel(rpc driver.RPC, callOut int) {
+func (i *instance) Cancel(rpc driver.RPC, attempt int) {
 	place := i.act(actCancel)
 	i.put32(uint32(rpc))
-	i.table.reply = le.AppendUint16(i.table.reply, uint16(callOut))
+	i.table.reply = le.AppendUint16(i.table.reply, uint16(attempt))
 	i.done(place)
 }
 
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -90,7 +90,7 @@
 		}
 	}
 	if len(called) != 3 || called[0] != 3 || called[1] != 4 || called[2] != 3 {
-		t.Fatalf("call-outs by instances %v, wanted 3 4 3", called)
+		t.Fatalf("attempts by instances %v, wanted 3 4 3", called)
 	}
 	if !bytes.Contains(out.Bytes(), new(frame).put(uint32(20), uint16(7000)).Bytes()) {
 		t.Fatal("the second page 0 was not used")
--- a/internal/terms/words.go
+++ b/internal/terms/words.go
@@ -19,7 +19,7 @@
 	"automatic": "pushed", "subscribe": "asked", "registry_mode": "list", "balancers": "drivers",
 	"position": "driver", "locality": "zone", "areas": "zones", "tick_us": "tick",
 	"quota_rps": "quota", "over_share_worth": "over_share", "may_cancel": "cancel",
-	"may_probe": "probe", "peers": "tell", "second_copies": "overlap", "most_tries": "callouts",
+	"may_probe": "probe", "peers": "tell", "second_copies": "overlap", "most_tries": "attempts",
 	"max_retry_after_us": "longest_wait", "idle_close_us": "idle_close", "drain_grace_us": "drain_grace", "cold_us": "cold_lasts",
 	"start_capacity": "cold_share", "fall_multiple": "cold_multiple", "tip_after_us": "cold_window",
 	"answer_slack_us": "answer_slack", "ask_within_us": "ask_within", "load_share": "util",
--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -32,9 +32,9 @@
 	method, group    int
 	arrived, until   time.Duration
 	token            time.Duration
-	open, last       int // call-outs still out: at most one here; number of the last
+	open, last       int // attempts still out: at most one here; number of the last
 	to               driver.Member
-	sentAt, over     time.Duration // over: when the latest call-out is waited for no more
+	sentAt, over     time.Duration // over: when the latest attempt is waited for no more
 	ran              bool
 	ranIn            driver.Zone
 	ranAt            time.Duration
@@ -82,7 +82,7 @@
 		pushed: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}}
 	settings := map[string]string{
 		"family_info.checks": checks, "family_info.token": "carried", "caps.cancel": "true", "caps.probe": "true",
-		"caps.callouts": "8", "caps.longest_wait": "1000000", "rules.cold_window": "1000000", "drivers": "1",
+		"caps.attempts": "8", "caps.longest_wait": "1000000", "rules.cold_window": "1000000", "drivers": "1",
 		"rules.cold_lasts": "10000000", "rules.cold_share": "0.25", "rules.cold_multiple": "3", "tick": "5000",
 		"report.columns": "x0,x1", "rules.drain_grace": "250000", "list": "pushed",
 	}
@@ -169,23 +169,23 @@
 func (w *world) Cancel(id driver.RPC, n int) {
 	q := w.rpcs[id]
 	if n > q.last {
-		w.t.Fatalf("cancel of a call-out never sent")
+		w.t.Fatalf("cancel of an attempt never sent")
 	}
 	q.cancelled = true
 }
 
-func (w *world) CallOut(id driver.RPC, to driver.Member, by, timeout time.Duration) {
+func (w *world) Attempt(id driver.RPC, to driver.Member, by, timeout time.Duration) {
 	w.calls++
 	q, n := w.rpcs[id], w.nodes[to]
 	if q == nil || n == nil || int(to%2) != q.group {
-		w.t.Fatalf("call-out of %d to %d of another group", id, to)
+		w.t.Fatalf("attempt of %d to %d of another group", id, to)
 	}
 	if q.ended || w.now > q.until {
-		w.t.Fatalf("rule 1: call-out of %d after its end", id)
+		w.t.Fatalf("rule 1: attempt of %d after its end", id)
 	}
 	m := testMethods[q.method]
 	if q.open > 0 {
-		w.t.Fatalf("two call-outs of %d at once", id)
+		w.t.Fatalf("two attempts of %d at once", id)
 	}
 	if q.ran && (m.effect == "non-idempotent" || m.effect == "tokened" && w.now >= q.ranAt+1200*ms) {
 		w.t.Fatalf("rule 2: %d sent again after it may have run", id)
@@ -200,7 +200,7 @@
 		w.t.Fatalf("%d is to be sent by %v, at %v", id, by, w.now)
 	}
 	if n.leftAt >= 0 && w.now > n.leftAt+grace {
-		w.t.Fatalf("rule 3: call-out to %d, told to be leaving %v ago", to, w.now-n.leftAt)
+		w.t.Fatalf("rule 3: attempt to %d, told to be leaving %v ago", to, w.now-n.leftAt)
 	}
 	if !w.checks && (!n.wasPrimary || n.toldNot) {
 		floor := map[string]time.Duration{"bounded": w.now - 500*ms, "session": q.token, "fresh": q.arrived}[m.need]
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,8 +1,9 @@
 // Package rules is passtack's decision module: every decision of a driver is in this file.
 //
 // A host (internal/node on sockets, cmd/simhost on the bench) makes one Router per driver with New and calls
-// one method for each thing that happens: ListBegins, Listed, ListEnds, Take, Ended, Probed, Told, ClientLeft,
-// ClientParts and Wake. The Router acts by calling the host (driver.Host). docs/design.md tells what the design settles.
+// one method for each thing that happens: ListBegins, Listed, ListEnds, Take, Ended, Probed, Told,
+// ClientLeft, ClientParts and Wake. The Router acts by calling the host (driver.Host).
+// docs/design.md tells what the design settles.
 package rules
 
 import (
@@ -77,12 +78,12 @@
 	pos, posAt                time.Duration     // it has applied all commits up to pos; when that was told
 	replicaAt                 time.Duration     // latest proof that it is a replica
 	heard                     time.Duration     // latest answer, or start of being busy
-	ratio, depth              float64           // its latencies against the usual; call-outs out then
-	fails                     float64           // part of its latest call-outs without a connection
+	ratio, depth              float64           // its latencies against the usual; attempts out then
+	fails                     float64           // part of its latest attempts without a connection
 	load, shown               float64           // recent work: load is sent while cold, else answered
 	out                       chain.Chain[*rpc] // in the order in which they were sent
 	fades                     fade
-	trickle                   int           // call-outs it may hold, 0: trusted
+	trickle                   int           // attempts it may hold, 0: trusted
 	pause, nextTry            time.Duration // between trickles that fail
 	timedAt, loadAt, probedAt time.Duration // latest latency, work and probe
 	shownAt                   time.Duration
@@ -97,7 +98,7 @@
 	diceAt    time.Duration
 }
 
-type callOut struct {
+type attempt struct {
 	to          *member
 	sent        time.Duration
 	depth       int
@@ -113,9 +114,9 @@
 	arrived, until, by         time.Duration // by: when it must be whole at a member, if at any
 	tenant                     driver.Tenant
 	wanted, token              time.Duration // wanted: since when, over all tries
-	calls                      []callOut
-	out                        int           // call-outs without an outcome yet
-	ranAt, holdUntil           time.Duration // send of the first call-out that may have run; end of its wait
+	calls                      []attempt
+	out                        int           // attempts without an outcome yet
+	ranAt, holdUntil           time.Duration // send of the first attempt that may have run; end of its wait
 	ranIn                      driver.Zone
 	mayHaveRun, held, answered bool
 	place                      chain.Link[*rpc] // among what its member holds
@@ -150,7 +151,7 @@
 
 const never = driver.LongAgo // before all other times
 
-// ListPause is the longest until discovery is asked again after a call that failed: internal/list has the sum.
+// ListPause is the longest until discovery is asked again after a failed call: internal/list has the sum.
 const ListPause = 500 * time.Millisecond
 
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
@@ -322,7 +323,7 @@
 	if to.out.Count() == 0 {
 		to.heard = max(to.heard, now)
 	}
-	c := callOut{to: to, sent: now, depth: to.out.Count(), turned: never, open: true, scout: scout}
+	c := attempt{to: to, sent: now, depth: to.out.Count(), turned: never, open: true, scout: scout}
 	q.calls = append(q.calls, c)
 	q.out++
 	to.out.Push(&q.place)
@@ -335,7 +336,7 @@
 	if len(q.calls) == 1 && int(q.tenant) < len(r.room) {
 		r.room[q.tenant] = max(r.room[q.tenant]-1, 0)
 	}
-	r.host.CallOut(q.id, to.id, q.by, timeout)
+	r.host.Attempt(q.id, to.id, q.by, timeout)
 }
 
 // allPast tells whether every replica of the group is known to have applied past the token.
@@ -354,7 +355,7 @@
 		m.trickle > 0 && (m.out.Count() >= m.trickle || now < m.nextTry) {
 		return false
 	}
-	lately := func(c callOut) bool { return c.to == m && c.turned > now-askAgain*time.Duration(len(q.calls)) }
+	lately := func(c attempt) bool { return c.to == m && c.turned > now-askAgain*time.Duration(len(q.calls)) }
 	return !slices.ContainsFunc(q.calls, lately) && r.coldRoom(m, q, now)
 }
 
@@ -400,7 +401,7 @@
 	for _, m := range g.members {
 		if m.sendable && (m == g.primary) == (q.method.need == write || q.method.need == fresh) {
 			all++
-			if m.trickle == 0 && !slices.ContainsFunc(q.calls, func(c callOut) bool { return c.to == m }) {
+			if m.trickle == 0 && !slices.ContainsFunc(q.calls, func(c attempt) bool { return c.to == m }) {
 				left++
 			}
 		}
@@ -536,7 +537,7 @@
 	r.held = append(r.held, q)
 }
 
-// giveUp gives the final answer to an RPC that gets no more call-outs.
+// giveUp gives the final answer to an RPC that gets no more attempts.
 func (r *Router) giveUp(q *rpc, wait time.Duration) {
 	r.callOff(q)
 	if q.method.idempotent || !q.mayHaveRun && q.out == 0 || q.method.tokened && q.method.everywhere {
@@ -566,7 +567,7 @@
 	return o == driver.Full || o == driver.NoConnection || o == driver.Moot || o == driver.Miss
 }
 
-// Ended tells how a call-out ended, and what the member said of itself.
+// Ended tells how an attempt ended, and what the member said of itself.
 func (r *Router) Ended(id driver.RPC, n int, from driver.Member, how driver.Outcome, took time.Duration,
 	complete bool, pos time.Duration, role driver.Role, report []float64) {
 	now := r.host.Now()
@@ -611,7 +612,7 @@
 	switch {
 	case how == driver.TimedOut, how == driver.Cancelled:
 		r.giveUp(q, r.terms.Span("caps.longest_wait"))
-	case how != driver.Moot && len(q.calls) < int(r.terms.Number("caps.callouts", 1)) &&
+	case how != driver.Moot && len(q.calls) < int(r.terms.Number("caps.attempts", 1)) &&
 		(!q.mayHaveRun || m.idempotent || m.tokened):
 		if q.mayHaveRun && !m.idempotent {
 			q.by = min(q.by, q.ranAt+m.window-way)
@@ -628,7 +629,7 @@
 }
 
 // learn keeps the member's latencies and health.
-func (r *Router) learn(q *rpc, c *callOut, how driver.Outcome, lost bool, took, now time.Duration) {
+func (r *Router) learn(q *rpc, c *attempt, how driver.Outcome, lost bool, took, now time.Duration) {
 	m := c.to
 	switch how {
 	case driver.OK:
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -112,9 +112,9 @@
 	m, meth := w.r.members[w.order[4]], w.r.methods[0]
 	m.ratio, meth.usual, m.timedAt, meth.timedAt = 1, 80*ms, w.now, w.now
 	for n := range 9 {
-		w.r.learn(&rpc{method: meth}, &callOut{to: m}, driver.TimedOut, false, 3*time.Second, w.now)
+		w.r.learn(&rpc{method: meth}, &attempt{to: m}, driver.TimedOut, false, 3*time.Second, w.now)
 		if got := w.r.predict(m, meth); n == 0 && got > 150*ms || n == 8 && got < 300*ms {
-			t.Fatalf("predicted %v after %d call-outs of 3 s that never came back", got, n+1)
+			t.Fatalf("predicted %v after %d attempts of 3 s that never came back", got, n+1)
 		}
 	}
 	if w.step(10 * time.Second); w.r.predict(m, meth) > 50*ms || w.r.usually(m, w.now) < 0.9 {
@@ -211,7 +211,7 @@
 		}
 	}
 	if extra := w.calls - calls; extra > 4*len(ids) {
-		t.Fatalf("%d call-outs to find the primary for %d writes", extra, len(ids))
+		t.Fatalf("%d attempts to find the primary for %d writes", extra, len(ids))
 	}
 	w.now += 6 * time.Minute
 	if w.list(driver.Changes); len(w.r.all) != 7 || len(w.r.groups[0].members) != 3 {
@@ -383,7 +383,7 @@
 // Many drivers that each send a group little know of a restart at once: their parts of the cold budget are
 // far under one RPC, and still add up to some of it and to no more.
 func TestColdBudgetOfWholeGroupsAddsUp(t *testing.T) {
-	const drivers, borne = 60, 0.05 // a quarter of a call-out a window, once for all: nothing warm is left
+	const drivers, borne = 60, 0.05 // a quarter of an attempt a window, once for all: nothing warm is left
 	sent := 0.0
 	for seed := range uint64(drivers) {
 		w := newWorld(t, seed, "wait")
