While it is open whether a client reads on, what waits behind its RPC is not begun

Found on reading Parting again: a client closes, its RPC that is held is pushed back at once, and the next one on its connection, read long before, began in that turn (Seat.Hears looked at what was unsent only); after a halt of the driver that is long after the close. Shown by TestNothingIsSentForWhoHasGone, unread behind one that is held: 250 ms after, with the fix never.

--- a/internal/front/room.go
+++ b/internal/front/room.go
@@ -144,7 +144,7 @@
 // Hears tells whether the client may be read from: who does not read gets nothing more to read. Where it may, it
 // has begun to ask.
 func (s *Seat) Hears() bool {
-	if s.Stream.Unsent() > 0 {
+	if s.Stream.Unsent() > 0 || s.Stream.Weighs() {
 		return false
 	}
 	if s.Asked && !s.Begun {
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -157,6 +157,7 @@
 			s.loop.At(s.loop.now+readsOn, func() {
 				s.weighed = true
 				s.update()
+				s.Look()
 			})
 			return
 		}
@@ -164,6 +165,9 @@
 	s.fail(io.EOF)
 }
 
+// Weighs tells that the other side sends no more, and it is not yet known whether it reads on: nothing more is begun for it.
+func (s *Stream) Weighs() bool { return s.parted && !s.weighed }
+
 // Spent tells that the other side has sent all that it will, and that all of it was read.
 func (s *Stream) Spent() bool { return s.spent }
 
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -241,6 +241,13 @@
 		s.at(120*ms, func() { s.driver.Pause(epoch + 400*ms) })
 		return []string{order("b")}
 	},
+	"unread behind one that is held, in one turn": func(s *scene) []string {
+		for _, m := range s.members {
+			m.act = func(c *acted, id string, _ func()) { c.refuse("25006") }
+		}
+		s.at(120*ms, func() { s.driver.Pause(epoch + 400*ms) })
+		return []string{order("a"), order("b")}
+	},
 	"held, and both are due in one turn": func(s *scene) []string {
 		for _, m := range s.members {
 			m.act = func(c *acted, id string, _ func()) { c.refuse("25006") }
