--- a/internal/member/endings_test.go
+++ b/internal/member/endings_test.go
@@ -1,10 +1,16 @@
 package member_test
 
 import (
+	"bytes"
+	"net/netip"
 	"testing"
 	"time"
 
 	"passtack/driver"
+	"passtack/internal/comeback"
+	"passtack/internal/loop"
+	"passtack/internal/member"
+	"passtack/internal/member/odata"
 )
 
 // send sends one attempt in the pool's next turn, which must be written whole by then.
@@ -96,3 +102,56 @@
 		s.check(t, 1, driver.Miss, 1)
 	})
 }
+
+// cutter answers a request without telling a length, and then resets or ends in order.
+type cutter struct {
+	stream *loop.Stream
+	how    func(*loop.Stream)
+}
+
+func (c *cutter) Opened()        {}
+func (c *cutter) Closed(error)   {}
+func (c *cutter) Panicked(error) {}
+func (c *cutter) Input(in []byte) int {
+	if !bytes.Contains(in, []byte("\r\n\r\n")) {
+		return 0
+	}
+	c.stream.Send([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"Id\":\"1\"}"))
+	c.how(c.stream)
+	return len(in)
+}
+
+// An answer over HTTP without a length is whole where its connection ended in order. A reset is no end, though what came would do.
+func TestAResetIsNoEndOfAnAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		how  func(*loop.Stream)
+		want driver.Outcome
+	}{
+		"ends in order":  {(*loop.Stream).CloseWhenSent, driver.OK},
+		"resets at once": {(*loop.Stream).Reset, driver.Broken},
+		"resets later":   {nil, driver.Broken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScene(t, 0, false)
+			if c.how == nil {
+				c.how = func(k *loop.Stream) { s.member.loop.At(s.member.loop.Now()+50*ms, k.Reset) }
+			}
+			at := netip.MustParseAddrPort("10.0.0.1:5432")
+			if _, err := s.member.loop.Listen(at, 1<<12, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
+				k := &cutter{how: c.how}
+				k.stream = open(k)
+			}, func(bool) {}); err != nil {
+				t.Fatal(err)
+			}
+			opens := comeback.NewOpens(250 * ms)
+			p := member.New(s.loop, s.ended, &odata.Tongue{Host: "m"}, &opens, 250*ms, 15*time.Second)
+			p.Place(1, at)
+			ask := &driver.Ask{Form: driver.Requests, Verb: "GET", Path: "/Applications('1')"}
+			s.loop.Later(func() { p.Attempt(1, 0, 1, time.Hour+time.Second, time.Hour+time.Second, ask) })
+			s.world.Run(time.Hour + 2*time.Second)
+			if got, ok := s.ended.ended[1]; !ok || got != c.want {
+				t.Errorf("it ended (%t) as %d, wanted %d", ok, got, c.want)
+			}
+		})
+	}
+}
