--- a/internal/terms/methods.go
+++ b/internal/terms/methods.go
@@ -22,7 +22,7 @@
 		if effect := t.Text(at + "effect"); !slices.Contains([]string{"idempotent", "tokened", "non-idempotent"}, effect) {
 			return wrong("effect", effect, "safe, keyed or unsafe is wanted")
 		} else if effect == "tokened" {
-			if repeats := t.Text(at + "repeats"); !slices.Contains([]string{"all", "zone", "group"}, repeats) {
+			if repeats := t.Text(at + "repeats"); !slices.Contains([]string{"", "all", "zone", "group"}, repeats) { // "" is the group
 				return wrong("group", repeats, "all, zone or cell is wanted for what is keyed")
 			}
 			if t.Span(at+"window") <= 0 {
