An RPC's time counts from its own last byte, also behind another on its connection

Lines at fault: internal/front/pg/pg.go and odata/front.go reckoned an RPC's end from max(its arrival, when the one before it was answered), so what waited got its whole time anew while its client left by its own clock. Ruled out: answers lost after the end (the counts are of requests never answered), crowding of descriptors (58 of 544 held), the module's own lateness (no `overdue`).

Change: Stream keeps with its input when each piece came (64 times at most, neighbours joined by the earlier; what came while reading rested counts from when that began), both fronts count from the message's own last byte. The module hears when the RPC came, so that what waited in line is no later try: its wish for the answer counts from then.

--- a/driver/seam.go
+++ b/driver/seam.go
@@ -58,9 +58,10 @@
 	Open() int                              // connections
 }
 
-// Clerk takes the RPCs that fronts bring. What RPC 0 was asked for has been answered already.
+// Clerk takes the RPCs that fronts bring: came is when the last byte had, until when its client may leave. What RPC 0 was
+// asked for has been answered already.
 type Clerk interface {
-	Take(by Front, from Client, method Method, group Group, session Session, until, wrote time.Duration, repeat bool) RPC
+	Take(by Front, from Client, method Method, group Group, session Session, came, until, wrote time.Duration, repeat bool) RPC
 	ClientLeft(rpc RPC)
 	ClientParts(rpc RPC) // it may have left, or only reads on: what is out is waited for, nothing more is sent
 	FormOf(group Group) Form
--- a/internal/front/odata/batch.go
+++ b/internal/front/odata/batch.go
@@ -25,7 +25,7 @@
 const mostDefault = 30 * time.Second // that a batch may last whose client does not say
 
 // batch begins a batch.
-func (f *Front) batch(w *work, q *question, began time.Duration) {
+func (f *Front) batch(w *work, q *question) {
 	parsed, err := odata.ParseBatch(q.fields.Text("content-type"), q.body, odata.BatchLimits{Items: f.offer.Batch, HTTP: f.offer.HTTP})
 	if err != nil {
 		w.finish(failure(err))
@@ -45,7 +45,7 @@
 			lasts += e.operation.Most
 		}
 	}
-	until := f.until(q, min(max(lasts, time.Second), mostDefault), began)
+	until := f.until(q, min(max(lasts, time.Second), mostDefault))
 	goOn := preference(q.fields, "continue-on-error")
 	if b.plan, err = plan(items, parsed.Ordered, goOn == "true", f.offer.Abreast, until); err != nil {
 		w.finish(failure(err))
@@ -103,6 +103,7 @@
 		if floor > 0 {
 			method = e.operation.AfterWrite
 		}
+		e.question.came = f.loop.Now() // it waited for others of the batch, by the client's own wish
 		f.send(e, until, floor, method)
 		if b.work == nil {
 			return
--- a/internal/front/odata/errand.go
+++ b/internal/front/odata/errand.go
@@ -88,7 +88,7 @@
 	if position > 0 {
 		wrote = max(1, now-position)
 	}
-	e.rpc = f.clerk.Take(f, driver.Client(e.handle), method, e.group, session, until, wrote, false)
+	e.rpc = f.clerk.Take(f, driver.Client(e.handle), method, e.group, session, e.question.came, until, wrote, false)
 }
 
 // newID gives an id that no RPC has which is served.
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -74,7 +74,6 @@
 	front     *Front
 	served    *work // nil: none
 	continued bool  // the client was told to send the body
-	answered  time.Duration
 }
 
 // work is one request on a connection: a single one, or a batch.
@@ -161,11 +160,10 @@
 // serve begins a request. Its answer may come at once.
 func (c *conn) serve(r *httpwire.Request) {
 	f := c.front
-	began := max(f.loop.Now()-c.Stream.Age(), c.answered)
 	w := &work{conn: c, head: string(r.Verb) == "HEAD", last: r.Last, version: "4.01", asking: true}
 	c.Serve()
 	c.served = w
-	q := &question{verb: string(r.Verb), target: string(r.Target), fields: r.Fields, body: r.Body}
+	q := &question{verb: string(r.Verb), target: string(r.Target), fields: r.Fields, body: r.Body, came: c.Stream.Came(r.Size)}
 	if q.fields.Text("odata-maxversion") == "4.0" {
 		w.version = "4.0"
 	}
@@ -174,10 +172,10 @@
 	case done != nil:
 		w.finish(done)
 	case e.resource.Kind == odata.BatchOf:
-		f.batch(w, q, began)
+		f.batch(w, q)
 	default:
 		e.work, w.errand = w, e
-		f.send(e, f.until(q, e.operation.Most, began), 0, e.operation.Method)
+		f.send(e, f.until(q, e.operation.Most), 0, e.operation.Method)
 	}
 	w.asking = false
 }
@@ -191,7 +189,6 @@
 	f := c.front
 	c.served, w.conn = nil, nil
 	c.Seat.Served()
-	c.answered = f.loop.Now()
 	c.Wait()
 	c.Stream.Send(f.message(r, w.version, w.head, w.last))
 	if w.last {
--- a/internal/front/odata/judge.go
+++ b/internal/front/odata/judge.go
@@ -21,7 +21,8 @@
 	verb, target string
 	fields       httpwire.Fields
 	body         []byte
-	inner        bool // of a batch
+	came         time.Duration // when all of it had; of a batch's, when its turn came
+	inner        bool          // of a batch
 }
 
 func fault(status int, code, format string, args ...any) *odata.Error {
@@ -354,7 +355,7 @@
 
 // until tells how long the client waits: by Prefer: wait in seconds, by Deadline-Ms, else as long as its method may
 // last.
-func (f *Front) until(q *question, otherwise, began time.Duration) time.Duration {
+func (f *Front) until(q *question, otherwise time.Duration) time.Duration {
 	wait := otherwise
 	if n, err := strconv.Atoi(preference(q.fields, "wait")); err == nil && n > 0 {
 		wait = min(time.Duration(n)*time.Second, longest)
@@ -362,7 +363,7 @@
 	if n, err := strconv.Atoi(q.fields.Text("deadline-ms")); err == nil && n > 0 {
 		wait = min(time.Duration(n)*time.Millisecond, longest)
 	}
-	return began + wait - front.Telling
+	return q.came + wait - front.Telling
 }
 
 // preference reads one of those in Prefer.
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -30,20 +30,19 @@
 
 type client struct {
 	*front.Seat
-	front    *Front
-	started  bool
-	rpc      driver.RPC // that is being served
-	serving  bool
-	asking   bool // the host is being asked to take it
-	ask      driver.Ask
-	size     int // bytes of the message that asked for it
-	text     int // where the statement starts in the message
-	id       string
-	budget   [2]int
-	checked  int           // bytes from there on in which only whole heads were found
-	unclear  int           // messages that were of no use
-	answered time.Duration // when it last was
-	secret   uint32        // by which it may cancel
+	front   *Front
+	started bool
+	rpc     driver.RPC // that is being served
+	serving bool
+	asking  bool // the host is being asked to take it
+	ask     driver.Ask
+	size    int // bytes of the message that asked for it
+	text    int // where the statement starts in the message
+	id      string
+	budget  [2]int
+	checked int    // bytes from there on in which only whole heads were found
+	unclear int    // messages that were of no use
+	secret  uint32 // by which it may cancel
 }
 
 // Listen starts to take clients in. The methods are named in their order.
@@ -277,13 +276,14 @@
 	if commit > 0 {
 		wrote = max(1, f.loop.Now()-time.Duration(commit)*time.Millisecond)
 	}
-	// Its time counts from its last byte, but not while an earlier one is answered.
-	until := max(f.loop.Now()-c.Stream.Age(), c.answered) + time.Duration(millis)*time.Millisecond - front.Telling
+	// Its time counts from its last byte, also while it waits behind another: its client leaves by its own clock.
+	came := c.Stream.Came(size)
+	until := came + time.Duration(millis)*time.Millisecond - front.Telling
 	c.Serve()
 	c.serving, c.asking, c.size, c.text, c.checked = true, true, size, 5, size
 	c.id = string(id)
 	f.open[c.id] = true
-	c.rpc = f.clerk.Take(f, driver.Client(c.Handle), number, driver.Group(in), session, until, wrote, repeat)
+	c.rpc = f.clerk.Take(f, driver.Client(c.Handle), number, driver.Group(in), session, came, until, wrote, repeat)
 	if c.asking = false; c.serving {
 		return 0
 	}
@@ -357,7 +357,6 @@
 		return
 	}
 	c.served()
-	c.answered = f.loop.Now()
 	c.Wait()
 	c.Stream.Send(parts...)
 	if c.asking {
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -59,8 +59,20 @@
 	heavy   int // bytes of out past the common size, as the loop knows of
 	written int // bytes of out that are gone
 	rest    [1][]byte
+
+	came     int64         // bytes of input, of all that ever came
+	arrivals []arrival     // of what was not taken, in order
+	behind   time.Duration // since when input has waited in the kernel, as reading rested; 0: it does not
+}
+
+// arrival tells when input came, up to a place that is counted from the start of the stream.
+type arrival struct {
+	upTo int64
+	at   time.Duration
 }
 
+const mostArrivals = 64 // of one stream; where it gets more, two are one and count from the earlier
+
 func (l *Loop) stream(fd int, owner Owner, most int, opening bool) (*Stream, error) {
 	s := &Stream{loop: l, fd: fd, owner: owner, most: most, opening: opening}
 	var err error
@@ -191,6 +203,7 @@
 func (s *Stream) read() {
 	if !s.space() {
 		s.starved = true
+		s.fallBehind()
 		s.loop.starved = append(s.loop.starved, s)
 		s.update()
 		return
@@ -213,9 +226,57 @@
 		return
 	}
 	s.buffer = s.buffer[:len(s.buffer)+n]
+	if s.from != nil {
+		s.arrived(n)
+	}
 	s.Look()
 }
 
+// arrived notes when the input came that was just read.
+func (s *Stream) arrived(n int) {
+	s.came += int64(n)
+	taken := s.came - int64(len(s.Unread()))
+	for len(s.arrivals) > 0 && s.arrivals[0].upTo <= taken {
+		s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
+	}
+	at := s.loop.now - s.loop.system.Arrived(s.fd)
+	if s.behind > 0 {
+		if at = min(at, s.behind); !s.loop.system.Pending(s.fd) { // all that waited has been read
+			s.behind = 0
+		}
+	}
+	if last := len(s.arrivals) - 1; last >= 0 && at <= s.arrivals[last].at {
+		s.arrivals[last].upTo = s.came
+		return
+	}
+	if len(s.arrivals) == mostArrivals {
+		for i := range mostArrivals / 2 {
+			s.arrivals[i] = arrival{s.arrivals[2*i+1].upTo, s.arrivals[2*i].at}
+		}
+		s.arrivals = s.arrivals[:mostArrivals/2]
+	}
+	s.arrivals = append(s.arrivals, arrival{s.came, at})
+}
+
+// fallBehind notes that reading rests: what comes from now on may have come at any time since.
+func (s *Stream) fallBehind() {
+	if s.behind == 0 {
+		s.behind = s.loop.now
+	}
+}
+
+// Came tells when the last of the first n bytes of Unread came, in the kernel or before it was taken in; of what came while
+// reading rested, when that began. Only streams that a listener took in know.
+func (s *Stream) Came(n int) time.Duration {
+	place := s.came - int64(len(s.Unread())-n)
+	for _, a := range s.arrivals {
+		if place <= a.upTo {
+			return a.at
+		}
+	}
+	return s.loop.now
+}
+
 // space leaves some room behind what was read, if there is any to be had.
 func (s *Stream) space() bool {
 	if s.buffer == nil {
@@ -265,7 +326,9 @@
 		s.release()
 	}
 	if full := len(s.buffer)-s.taken >= s.most; full != s.full {
-		s.full = full
+		if s.full = full; full {
+			s.fallBehind()
+		}
 		s.update()
 	}
 }
@@ -289,6 +352,9 @@
 		s.weigh(common - cap(s.buffer))
 	}
 	s.buffer, s.taken = nil, 0
+	if s.arrivals = s.arrivals[:0]; cap(s.arrivals) > 4 {
+		s.arrivals = nil
+	}
 }
 
 // weigh counts what this stream's buffers take past the common size.
@@ -378,11 +444,6 @@
 	s.Look() // an owner may have waited for this with more input
 }
 
-// Age tells how long ago the last of the input came, which may have waited here or to be taken in.
-func (s *Stream) Age() time.Duration {
-	return s.loop.system.Arrived(s.fd)
-}
-
 // Alive looks whether the other side has closed the stream or said something that was not read yet.
 func (s *Stream) Alive() bool {
 	return !s.closed && s.loop.system.Quiet(s.fd)
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +42,7 @@
 	at     netip.AddrPort
 	greets time.Duration                            // after so long it lets a connection in
 	act    func(c *acted, id string, answer func()) // at each query; answer gives the row
+	told   func(text string)                        // sees each query before act does
 	reads  int                                      // bytes of one query that it takes
 	ended  int                                      // connections that the driver ended
 }
@@ -71,6 +74,7 @@
 	id := field(string(body[:len(body)-1]), "id")
 	s := a.scene
 	s.sent[id] = append(s.sent[id], s.world.Now())
+	a.told(string(body[:len(body)-1]))
 	a.act(c, id, func() { c.stream.Send(pgwire.AppendReady(note(rows("value of "+id), "leader"))) })
 	return size
 }
@@ -118,6 +122,11 @@
 }
 
 func newScene(t *testing.T, change func(map[string]string), descriptors int) *scene {
+	return newSceneWith(t, change, descriptors, "")
+}
+
+// newSceneWith gives the driver a file of its operator too.
+func newSceneWith(t *testing.T, change func(map[string]string), descriptors int, wanted string) *scene {
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	s := &scene{t: t, world: sim.New(1, epoch), sent: make(map[string][]time.Duration)}
 	on := func(h *sim.Host) *loop.Loop {
@@ -133,6 +142,7 @@
 		a := &actor{scene: s, at: netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:5432", i+1)), reads: 1 << 20}
 		a.loop = on(s.world.Host(fmt.Sprint("m", i)))
 		a.act = func(_ *acted, _ string, answer func()) { answer() }
+		a.told = func(string) {}
 		if _, err := a.loop.Listen(a.at, 1<<20, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
 			c := &acted{actor: a}
 			c.stream = open(c)
@@ -154,7 +164,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.node, err = On(l, site, operator.None()); err != nil {
+	wants := operator.None()
+	if wanted != "" {
+		site.Operator = filepath.Join(t.TempDir(), "passtack.hcl")
+		os.WriteFile(site.Operator, []byte(wanted), 0o600)
+		if wants, err = site.Wants(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s.node, err = On(l, site, wants); err != nil {
 		t.Fatal(err)
 	}
 	s.driver.Serve(l, func() {})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -381,7 +381,7 @@
 
 // Take hands an RPC to the module.
 func (n *Node) Take(by driver.Front, from driver.Client, method driver.Method, group driver.Group,
-	session driver.Session, until, wrote time.Duration, repeat bool) driver.RPC {
+	session driver.Session, came, until, wrote time.Duration, repeat bool) driver.RPC {
 	n.Count("rpcs_taken")
 	if n.ending != 0 {
 		until = min(until, n.ending)
@@ -403,7 +403,7 @@
 	d.taken++
 	d.rpcs++
 	q.overdue = n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
-	n.module.Take(driver.RPC(h), method, group, 0, session, until, wrote, repeat)
+	n.module.Take(driver.RPC(h), method, group, 0, session, came, until, wrote, repeat)
 	return driver.RPC(h)
 }
 
--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -249,7 +249,7 @@
 	if token > 0 {
 		q.token, wrote = token, w.now-token
 	}
-	w.r.Take(w.next, driver.Method(method), driver.Group(q.group), 0, 7, q.until, wrote, false)
+	w.r.Take(w.next, driver.Method(method), driver.Group(q.group), 0, 7, w.now, q.until, wrote, false)
 	return w.next
 }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -191,9 +191,9 @@
 	return r
 }
 
-// Take is the ordinary path's start: a client's RPC is here and gets one final answer.
+// Take is the ordinary path's start: a client's RPC, which came whole a while ago, gets one final answer.
 func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, whose driver.Tenant,
-	who driver.Session, until, wrote time.Duration, repeat bool) {
+	who driver.Session, came, until, wrote time.Duration, repeat bool) {
 	now := r.host.Now()
 	if int(meth) >= len(r.methods) {
 		r.host.PushBack(id, 0)
@@ -204,9 +204,9 @@
 	r.rpcs[id], q.token, q.tenant, q.place.Value = q, never, whose, q
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
-	q.wanted = r.firstSeen(q.method, now, until, repeat)
+	q.wanted = r.firstSeen(q.method, now, came, until, repeat)
 	r.came, r.fresh = r.recent(r.came, now-r.cameAt)+q.method.usual.Seconds(), r.recent(r.fresh, now-r.cameAt)
-	if r.cameAt = now; q.wanted == now {
+	if r.cameAt = now; q.wanted == came {
 		r.fresh += q.method.usual.Seconds()
 	}
 	if token, ok := r.tokens[who]; ok {
@@ -219,23 +219,23 @@
 
 // firstSeen tells since when the client wants the answer. A try lasts as usual or until the client's limit
 // for all tries: another length gives an earlier try away. What waited out a halt of this driver is older.
-func (r *Router) firstSeen(m *method, now, until time.Duration, repeat bool) time.Duration {
-	usual := (until - now - m.tryLasts).Abs() < 2*r.tick
+func (r *Router) firstSeen(m *method, now, came, until time.Duration, repeat bool) time.Duration {
+	usual := (until - came - m.tryLasts).Abs() < 2*r.tick
 	if !usual && now != r.halted {
 		if m.trySure--; m.trySure < 0 {
-			m.tryLasts, m.trySure, usual = until-now, 1, true
+			m.tryLasts, m.trySure, usual = until-came, 1, true
 		}
 	} else if usual {
 		m.trySure = min(m.trySure+1, trusted)
 	}
 	if usual && repeat {
-		return now - m.soft/4 // the time to come back is that at most
+		return came - m.soft/4 // the time to come back is that at most
 	} else if usual {
-		return now
+		return came
 	} else if now == r.halted {
-		return min(now, until-m.tryLasts)
+		return min(came, until-m.tryLasts)
 	}
-	return min(now, until-m.limit)
+	return min(came, until-m.limit)
 }
 
 // route is the ordinary path: it sends the RPC where the design says, holds it briefly, or gives it up.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -352,11 +352,11 @@
 	w := newWorld(t, 1, "wait", "methods.0.limit=2000000")
 	m := w.r.methods[0]
 	for range 5 {
-		if got := w.r.firstSeen(m, w.now, w.now+1500*ms, false); got != w.now {
+		if got := w.r.firstSeen(m, w.now, w.now, w.now+1500*ms, false); got != w.now {
 			t.Fatalf("a first try counts from %v, came at %v", got, w.now)
 		}
 	}
-	if got := w.r.firstSeen(m, w.now, w.now+1200*ms, true); got != w.now-800*ms {
+	if got := w.r.firstSeen(m, w.now, w.now, w.now+1200*ms, true); got != w.now-800*ms {
 		t.Fatalf("a try that ends 1.2 s from now counts from %v, now is %v", got, w.now)
 	}
 }
@@ -588,3 +588,27 @@
 		t.Errorf("tokens recalled: %v", w.r.tokens)
 	}
 }
+
+// What waited behind another on its connection is a first try all the same, wanted since it came: its shorter time is not taken for
+// that of a later try, and does not change what is known of tries.
+func TestWaitingInALineMakesNoLaterTry(t *testing.T) {
+	w := newWorld(t, 1, "")
+	w.least = 1999
+	for range 3 {
+		w.take(0, 0)
+	}
+	m := w.r.methods[0]
+	lasts := m.tryLasts
+	for id, waited := range []time.Duration{0, 300 * ms, 900 * ms, 1500 * ms} {
+		before := w.r.fresh
+		w.next++
+		w.rpcs[w.next] = &ask{group: 0, arrived: w.now, last: -1, token: driver.LongAgo, until: w.now - waited + lasts}
+		w.r.Take(w.next, 0, 0, 0, 7, w.now-waited, w.now-waited+lasts, 0, false)
+		if q := w.r.rpcs[w.next]; q != nil && q.wanted != w.now-waited {
+			t.Errorf("%d waited %v and is wanted since %v ago", id, waited, w.now-q.wanted)
+		}
+		if w.r.fresh <= before || m.tryLasts != lasts {
+			t.Errorf("%d waited %v: counted as first try %v, tries last %v, before %v", id, waited, w.r.fresh > before, m.tryLasts, lasts)
+		}
+	}
+}
