--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -44,10 +44,11 @@
 	rev      int64
 	asked    uint64 // number of the call that is out, 0: none
 	calls    uint64
-	watching bool // calls follow each other
-	whole    bool // the whole list is asked for next
-	wanted   bool // the call that is out, or the latest, is for the whole list
-	atOnce   bool // the next call waits for no change: the latest one failed, or somebody else watches
+	watching bool     // calls follow each other
+	whole    bool     // the whole list is asked for next
+	wanted   bool     // the call that is out, or the latest, is for the whole list
+	patience loop.Due // with the call that is out
+	atOnce   bool     // the next call waits for no change: the latest one failed, or somebody else watches
 
 	rests   bool          // somebody else watches, and tells
 	heardAt time.Duration // latest answer
@@ -135,7 +136,7 @@
 	number := d.asked
 	d.stream.Send(httpwire.AppendGet(nil, d.at.String(), path))
 	d.host.Count("list_calls")
-	d.loop.At(d.loop.Now()+wait, func() {
+	d.patience = d.loop.At(d.loop.Now()+wait, func() {
 		if d.asked == number {
 			d.failed(errors.New("no answer in time"))
 		}
@@ -169,6 +170,7 @@
 		d.failed(err)
 		return
 	}
+	d.loop.Forget(d.patience)
 	d.asked, d.heardAt, d.atOnce = 0, d.loop.Now(), false
 	if last {
 		d.drop()
--- a/internal/loop/sim/world.go
+++ b/internal/loop/sim/world.go
@@ -145,8 +145,9 @@
 
 // Host is one machine with one program on its loop.
 type Host struct {
-	Name string
-	Cost time.Duration // of a turn of its loop, in which it does nothing else
+	Name  string
+	Cost  time.Duration // of a turn of its loop, in which it does nothing else
+	Turns int           // of its loops so far
 
 	world   *World
 	loop    *loop.Loop
@@ -215,5 +216,6 @@
 		return
 	}
 	h.free = h.world.now + h.Cost
+	h.Turns++
 	h.loop.Turn(0, h.rung)
 }
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -61,9 +61,6 @@
 		n.doors = append(n.doors, d)
 		n.byFront[d.front] = d
 	}
-	if len(n.doors) > 1 {
-		n.loop.At(n.loop.Now()+parting, n.partAnew)
-	}
 	return nil
 }
 
@@ -110,11 +107,14 @@
 
 // partAnew lets who has borrowed connections that another needs end some.
 func (n *Node) partAnew() {
+	if len(n.doors) < 2 || n.loop.Now() < n.partAt {
+		return
+	}
+	n.partAt = n.loop.Now() + parting
 	n.tally()
 	for _, d := range n.doors {
 		d.room.Yield(n.shares.Over(d.number, share.Connections, n.loop.Most()*5/8, n.loop.Now()))
 	}
-	n.loop.At(n.loop.Now()+parting, n.partAnew)
 }
 
 // FormOf tells how the members of a group are spoken to.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,7 +58,6 @@
 	pools      [driver.Forms]*member.Pool
 	opens      comeback.Opens
 	back       *comeback.Return
-	lookedBack time.Duration
 	talk       *talk          // nil: it does not talk with others
 	view       *view          // nil: it has none of its fleet
 	listing    driver.Listing // how the list is that is being told
@@ -76,6 +75,11 @@
 	counts     map[string]int
 	most       int // attempts of one RPC
 	tick       time.Duration
+	wake       loop.Due      // of the module
+	woke, due  time.Duration // when it came last, comes next
+	pace       time.Duration // between two while the module does not rest
+	lookAt     time.Duration // when the driver's way back is looked at next
+	partAt     time.Duration // when the fronts' shares are
 	fault      error
 	ending     time.Duration // when all must be answered, once a planned stop was begun
 	ends       time.Duration // when clients that are connected are served no more
@@ -165,10 +169,7 @@
 // lookBack follows the driver's way back after its start, or after it stood still.
 func (n *Node) lookBack() {
 	now, waits := n.loop.Now(), 0
-	if p := n.background.plan; p != nil && n.lookedBack > 0 {
-		p.Late(now-n.lookedBack-lookingBack, now)
-	}
-	n.lookedBack = now
+	n.lookAt = now + lookingBack
 	for _, p := range n.pools {
 		waits += p.Waiting()
 	}
@@ -180,7 +181,7 @@
 		}
 		slog.Info("comeback", "stage", stage, "after_ms", n.back.Age(now).Milliseconds())
 	}
-	n.loop.At(now+lookingBack, n.lookBack)
+	n.partAnew()
 }
 
 // speak opens the side for one protocol with members.
@@ -403,6 +404,7 @@
 	d.taken++
 	d.rpcs++
 	q.overdue = n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
+	n.stir()
 	n.module.Take(driver.RPC(h), method, group, 0, session, until, wrote, repeat)
 	return driver.RPC(h)
 }
@@ -528,6 +530,7 @@
 	if how != driver.Cached && how != driver.NoList {
 		n.back.Listed()
 	}
+	n.stir()
 	n.module.ListEnds(how)
 	if n.view != nil {
 		n.view.drains.listEnds()
@@ -605,7 +608,38 @@
 }
 
 func (n *Node) WakeAfter(wait time.Duration) {
-	n.loop.At(n.loop.Now()+wait, func() { n.module.Wake() })
+	n.woke, n.pace = n.loop.Now(), wait
+	n.wakeAt(n.woke + wait)
+}
+
+func (n *Node) wakeAt(at time.Duration) {
+	n.loop.Forget(n.wake)
+	n.due = at
+	n.wake = n.loop.At(at, n.beat)
+}
+
+// beat is the driver's one periodic timer: what else comes again and again comes with the module's ticks, and those that
+// would do nothing are left out.
+func (n *Node) beat() {
+	now, late := n.loop.Now(), n.loop.Now()-n.due
+	n.module.Wake()
+	if now >= n.lookAt {
+		if p := n.background.plan; p != nil {
+			p.Late(late, now)
+		}
+		n.lookBack()
+	}
+	if rest := n.module.Rest(); rest > n.pace {
+		n.wakeAt(now + rest)
+	}
+}
+
+// stir lets the ticks go on when they would have come without a rest.
+func (n *Node) stir() {
+	missed := (n.loop.Now() - n.woke + n.pace - 1) / n.pace
+	if at := n.woke + missed*n.pace; at < n.due {
+		n.wakeAt(at)
+	}
 }
 
 // Log leaves out what was said before, some seconds long: a role that alternates would fill the log.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -2,7 +2,8 @@
 //
 // A host (internal/node on sockets, cmd/simhost on the bench) makes one Router per driver with New and calls
 // one method for each thing that happens: ListBegins, Listed, ListEnds, Take, Ended, Probed, Told,
-// ClientLeft, ClientParts and Wake. The Router acts by calling the host (driver.Host).
+// ClientLeft, ClientParts and Wake. The Router acts by calling the host (driver.Host). Rest tells a host
+// which ticks it may leave out.
 // docs/design.md tells what the design settles.
 package rules
 
@@ -141,6 +142,7 @@
 	tick                 time.Duration
 	woken, halted, every time.Duration // latest timer; latest end of a halt of this driver; between latencies
 	beatAt, paced        time.Duration // next look at every member; when pace was learned
+	rests                time.Duration // ticks before that may be left out
 	fades                fade
 	pace, failing        float64 // latest latencies against the usual; part of the members that fail
 	probes, borne        float64 // that may be sent now; what warm members bear from here, as member.load
@@ -773,6 +775,7 @@
 // noticeHalt tells a halt of this driver by its late timer. What came meanwhile is handled all at once:
 // neither the members' silence nor the latencies of that moment mean anything.
 func (r *Router) noticeHalt(now time.Duration) {
+	r.woken, r.rests = max(r.woken, min(now, r.rests-r.tick)), 0 // what was left out counts as come
 	if now-r.woken > beat {
 		r.halted = now
 	}
@@ -807,6 +810,18 @@
 	}
 }
 
+// Rest tells after its call of Wake how long a host may leave the ticks out unless an RPC or a list comes:
+// they would do nothing before the next look at every member. A later one still tells a halt.
+func (r *Router) Rest() time.Duration {
+	if r.rests = r.woken + r.tick; len(r.rpcs) == 0 && slices.Equal(r.room, r.quota) {
+		r.rests = max(r.rests, r.beatAt)
+		if at, ok := r.dues.First(); ok {
+			r.rests = min(r.rests, max(at, r.woken+r.tick))
+		}
+	}
+	return r.rests - r.woken
+}
+
 // watchOver sets aside a member that has gone silent: with what it holds, answers should have come several
 // times over. A single RPC may be slow or its answer lost: it no longer counts, and the next one must tell.
 // It also probes what was not heard of, for a part of the RPCs taken: many drivers' probes would add up.
