--- /dev/null
+++ b/internal/node/rest_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"passtack/internal/loop"
+	"passtack/internal/loop/sim"
+	"passtack/internal/operator"
+	"passtack/internal/terms"
+)
+
+// holding is a connection to a discovery where nothing ever changes.
+type holding struct {
+	loop   *loop.Loop
+	stream *loop.Stream
+	calls  *int
+}
+
+func (h *holding) Opened()        {}
+func (h *holding) Closed(error)   {}
+func (h *holding) Panicked(error) {}
+
+func (h *holding) Input(in []byte) int {
+	*h.calls++
+	hold := 0
+	if _, after, held := strings.Cut(string(in), "hold_ms="); held {
+		hold, _ = strconv.Atoi(after[:strings.IndexByte(after, ' ')])
+	}
+	h.loop.At(h.loop.Now()+time.Duration(hold)*time.Millisecond, func() {
+		body := listOf(1, false)
+		h.stream.Send(fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	})
+	return len(in)
+}
+
+// resting gives a driver without clients that watches discovery, and its host.
+func resting(t *testing.T, members int) (w *sim.World, n *Node, driver *sim.Host, calls *int) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	w, calls = sim.New(3, epoch), new(int)
+	on := func(h *sim.Host) *loop.Loop {
+		l, err := loop.On(h, 4000, 16<<20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Serve(l, func() {})
+		return l
+	}
+	var targets []string
+	for i := range members {
+		targets = append(targets, fmt.Sprintf(`{"uid":"s-%d","endpoint":"10.0.%d.%d:5432","az":"a","pod_group":%d,"state":"in_service","capacity_hint":1,"boot_ms":0}`,
+			i, 16+i/200, i%200, i/10))
+	}
+	site := &Site{
+		Name: "d", Listen: netip.MustParseAddrPort("10.0.0.1:6543"), Discovery: netip.MustParseAddrPort("10.0.9.1:8500"), Seed: 5,
+		Descriptors: 4000, Memory: 64 << 20, Known: []byte(listOf(1, true, targets...)), Terms: terms.Nested(simSettings(t)),
+	}
+	agent := on(w.Host("agent"))
+	if _, err := agent.Listen(site.Discovery, 1<<12, loop.Door{}, func(open func(loop.Owner) *loop.Stream) {
+		h := &holding{loop: agent, calls: calls}
+		h.stream = open(h)
+	}, func(bool) {}); err != nil {
+		t.Fatal(err)
+	}
+	driver = w.Host("d")
+	var err error
+	if n, err = On(on(driver), site, operator.None()); err != nil {
+		t.Fatal(err)
+	}
+	return w, n, driver, calls
+}
+
+// Without clients a driver wakes for its look at itself and for what discovery says, and for nothing else, however many
+// members there are.
+func TestADriverThatRestsWakesSeldom(t *testing.T) {
+	const minutes = 2
+	woken := make(map[int]int)
+	for _, members := range []int{100, 1100} {
+		w, n, driver, calls := resting(t, members)
+		w.Run(epoch + 5*time.Second) // it comes back and has its list
+		turns, called := driver.Turns, *calls
+		w.Run(epoch + 5*time.Second + minutes*time.Minute)
+		woken[members] = driver.Turns - turns
+		t.Logf("%d members: %d wakes and %d calls for the list in %d minutes", members, woken[members], *calls-called, minutes)
+		looks := int(minutes * time.Minute / lookingBack)
+		if called = *calls - called; called < 40*minutes/2 || woken[members] > looks+2*called {
+			t.Errorf("%d members: %d wakes in %d minutes, with %d looks and %d calls for the list", members, woken[members], minutes, looks, called)
+		}
+		if len(n.numbers) != members {
+			t.Errorf("it knows %d of %d members", len(n.numbers), members)
+		}
+	}
+	if more := woken[1100] - woken[100]; more < -2 || more > 2 {
+		t.Errorf("%d wakes with 100 members, %d with 1100", woken[100], woken[1100])
+	}
+}
+
+// A driver that stood still while it rested begins anew, whenever in its rest that was; a shorter pause is none.
+func TestAHaltOfADriverThatRestsIsNoticed(t *testing.T) {
+	for phase := time.Duration(0); phase < lookingBack; phase += 7 * time.Millisecond {
+		w, n, driver, _ := resting(t, 4)
+		from := epoch + 15*time.Second + phase
+		w.At(from, func() { driver.Pause(from + 900*time.Millisecond) })
+		w.Run(epoch + 20*time.Second)
+		if n.counts["halts"] != 0 {
+			t.Fatalf("%d halts after a pause of 900 ms", n.counts["halts"])
+		}
+		from += 10 * time.Second
+		w.At(from, func() { driver.Pause(from + 1010*time.Millisecond) })
+		w.Run(epoch + 30*time.Second)
+		if n.counts["halts"] != 1 {
+			t.Errorf("%d halts after a pause of 1010 ms, %v into the second", n.counts["halts"], phase)
+		}
+	}
+}
--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -53,6 +53,8 @@
 	open    []driver.RPC
 	next    driver.RPC
 	wake    time.Duration
+	rests   bool // the host leaves out the ticks that it may
+	ticks   int
 	probes  []driver.Member
 	written map[driver.Session]time.Duration
 	forgot  []driver.Member
@@ -131,6 +133,7 @@
 		}
 		w.r.Listed(m, w.zoneOf(m), driver.Group(m%2), n.standing, 1, n.started, false)
 	}
+	w.stir()
 	w.r.ListEnds(how)
 }
 
@@ -249,6 +252,7 @@
 	if token > 0 {
 		q.token, wrote = token, w.now-token
 	}
+	w.stir()
 	w.r.Take(w.next, driver.Method(method), driver.Group(q.group), 0, 7, q.until, wrote, false)
 	return w.next
 }
@@ -319,7 +323,10 @@
 			}
 		}
 		if w.now >= w.wake {
-			w.r.Wake()
+			w.ticks++
+			if w.r.Wake(); w.rests {
+				w.wake = w.now + w.r.Rest()
+			}
 		}
 		for id, q := range w.rpcs {
 			if !q.ended && w.now > q.until+20*ms {
@@ -329,6 +336,9 @@
 	}
 }
 
+// stir ends a rest with the next tick.
+func (w *world) stir() { w.wake = min(w.wake, w.now+5*ms) }
+
 func (w *world) fated(times int, wait time.Duration, fate func(q *ask) driver.Outcome, methods ...int) {
 	for range times {
 		for _, method := range methods {
