At rest the module looks at its members four times a second, and cheaply

Cause: with ticks left out a resting driver still woke 20 times a second, and each look at 1,100 members took 0.6 ms (reckoned): map lookups and an exponential for members that hold no work.

What differs: a halt shorter than 250 ms that falls inside a rest may go unnoticed by the module. Nothing is under way then, and what came meanwhile is told with its own time of arrival. A driver's own halts are noticed from 1 s on as before; one of 0.75 to 1 s may be taken for one and costs a list call.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -36,6 +36,7 @@
 	trusted      = 16                     // a trickle that has doubled past this is no longer held back
 	coldPart     = 0.4                    // of the cold budget; the rest is for bursts and for what was not seen
 	beat         = 50 * time.Millisecond  // between two looks at every member; later means a halt of this driver
+	lull         = 5 * beat               // between them while nothing is under way
 	exploring    = 0.2                    // of the reads that may go to a replica unheard of
 	probePart    = 0.25                   // probes for each RPC taken
 	probeCredit  = 20.0                   // probes that may be saved up, and sent at the start
@@ -204,6 +205,7 @@
 	q := &rpc{id: id, method: r.methods[meth], group: r.groupOf(in), session: who, arrived: now, until: until,
 		by: until}
 	r.rpcs[id], q.token, q.tenant, q.place.Value = q, never, whose, q
+	r.catchUp(now)
 	r.noticeHalt(now)
 	r.probes = min(r.probes+probePart, probeCredit)
 	q.wanted = r.firstSeen(q.method, now, came, until, repeat)
@@ -365,6 +367,9 @@
 
 // recent is what still counts of work after some time.
 func (r *Router) recent(work float64, age time.Duration) float64 {
+	if work == 0 {
+		return 0
+	}
 	return work * math.Exp(-float64(age)/float64(max(r.terms.Span("rules.cold_window"), r.tick)))
 }
 
@@ -784,6 +789,7 @@
 // Wake is the one periodic timer.
 func (r *Router) Wake() {
 	now := r.host.Now()
+	r.catchUp(now - r.tick)
 	r.noticeHalt(now)
 	r.woken = now
 	r.host.WakeAfter(r.tick)
@@ -793,8 +799,10 @@
 	if now >= r.beatAt { // with hundreds of drivers and members a look at each at every tick takes too long
 		r.beatAt = now + beat
 		r.survey(now)
-		for i, first := 0, r.chance.Below(len(r.all)+1); i < len(r.all); i++ {
-			r.watchOver(r.all[(first+i)%len(r.all)], now)
+		if !r.idle() {
+			for i, first := 0, r.chance.Below(len(r.all)+1); i < len(r.all); i++ {
+				r.watchOver(r.all[(first+i)%len(r.all)], now)
+			}
 		}
 	}
 	for i, quota := range r.quota {
@@ -811,10 +819,13 @@
 }
 
 // Rest tells after its call of Wake how long a host may leave the ticks out unless an RPC or a list comes:
-// they would do nothing before the next look at every member. A later one still tells a halt.
+// they would do nothing before the next look at every member, which itself may wait where nobody is watched
+// over. A later tick still tells a halt.
 func (r *Router) Rest() time.Duration {
 	if r.rests = r.woken + r.tick; len(r.rpcs) == 0 && slices.Equal(r.room, r.quota) {
-		r.rests = max(r.rests, r.beatAt)
+		if r.rests = max(r.rests, r.beatAt); r.idle() {
+			r.rests += lull - beat
+		}
 		if at, ok := r.dues.First(); ok {
 			r.rests = min(r.rests, max(at, r.woken+r.tick))
 		}
@@ -822,6 +833,19 @@
 	return r.rests - r.woken
 }
 
+// idle tells that no member holds anything, and that none may be probed: what was learned only fades.
+func (r *Router) idle() bool {
+	return len(r.rpcs) == 0 && (r.probes < 1 || !r.terms.Yes("caps.probe"))
+}
+
+// catchUp takes the latest of the looks that were left out, before what ends the rest changes anything.
+func (r *Router) catchUp(now time.Duration) {
+	if now = min(now, r.rests); now >= r.beatAt {
+		r.beatAt += (now-r.beatAt)/beat*beat + beat
+		r.survey(r.beatAt - beat)
+	}
+}
+
 // watchOver sets aside a member that has gone silent: with what it holds, answers should have come several
 // times over. A single RPC may be slow or its answer lost: it no longer counts, and the next one must tell.
 // It also probes what was not heard of, for a part of the RPCs taken: many drivers' probes would add up.
@@ -854,6 +878,7 @@
 }
 
 func (r *Router) ListBegins(how driver.Listing) {
+	r.catchUp(r.host.Now())
 	for _, m := range r.all {
 		m.listed = m.listed && how != driver.Whole && how != driver.Cached
 	}
