--- a/rules/rules.go
+++ b/rules/rules.go
@@ -799,10 +799,8 @@
 	if now >= r.beatAt { // with hundreds of drivers and members a look at each at every tick takes too long
 		r.beatAt = now + beat
 		r.survey(now)
-		if !r.idle() {
-			for i, first := 0, r.chance.Below(len(r.all)+1); i < len(r.all); i++ {
-				r.watchOver(r.all[(first+i)%len(r.all)], now)
-			}
+		for i, first := 0, r.chance.Below(len(r.all)+1); i < len(r.all); i++ {
+			r.watchOver(r.all[(first+i)%len(r.all)], now)
 		}
 	}
 	for i, quota := range r.quota {
@@ -840,8 +838,10 @@
 
 // catchUp takes the latest of the looks that were left out, before what ends the rest changes anything.
 func (r *Router) catchUp(now time.Duration) {
-	if now = min(now, r.rests); now >= r.beatAt {
-		r.beatAt += (now-r.beatAt)/beat*beat + beat
+	if now = min(now, r.rests-r.tick); r.rests > 0 && now >= r.beatAt {
+		for ; now >= r.beatAt; r.beatAt += beat {
+			r.chance.Below(len(r.all) + 1) // the dice of each
+		}
 		r.survey(r.beatAt - beat)
 	}
 }
