--- a/cmd/passlab/main.go
+++ b/cmd/passlab/main.go
@@ -92,6 +92,7 @@
 	var command struct {
 		Experiment experiment `cmd:"" help:"Play scripts with several arms and seeds, and compare them."`
 		Compare    compare    `cmd:"" help:"Compare two experiments by the plays that they have in common."`
+		Capacity   sweeps     `cmd:"" help:"Play the sweeps behind docs/CAPACITY.md, and fit how each measure grows."`
 	}
 	c := kong.Parse(&command, kong.Name("passlab"), kong.Description("Experiments on rehearsals in simulated time."))
 	if err := c.Run(); err != nil {
--- /dev/null
+++ b/internal/lab/capacity/fit.go
@@ -0,0 +1,174 @@
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Series is one measure by size, over its seeds.
+type Series struct {
+	Sweep, Measure, Unit, Axis, How string
+	Sizes                           []float64
+	Medians                         []float64
+	Fit                             Fit
+}
+
+// Shape is how a measure grows with a size.
+type Shape string
+
+const (
+	Flat      Shape = "flat"
+	Logarithm Shape = "logarithm"
+	Linear    Shape = "linear"
+	Square    Shape = "square"
+	Unfitted  Shape = "too few sizes"
+)
+
+// Fit is how a measure grows: value = Base + Slope * f(size), where f is that of the shape. Power is the exponent of the line through the
+// logarithms, with its standard error.
+type Fit struct {
+	Shape       Shape
+	Base, Slope float64
+	Residual    float64 // root mean square of the relative residuals
+	Power       float64
+	PowerError  float64 // not a number with two sizes or with values that are not over zero
+}
+
+var shapes = []struct {
+	shape Shape
+	of    func(size float64) float64
+}{{Logarithm, math.Log}, {Linear, func(x float64) float64 { return x }}, {Square, func(x float64) float64 { return x * x }}}
+
+const (
+	flatUnder = 0.05 // relative residual of the mean up to which a measure counts as flat
+	leastFit  = 3    // sizes
+)
+
+// At gives what the fit says of a size.
+func (f Fit) At(size float64) float64 {
+	for _, s := range shapes {
+		if s.shape == f.Shape {
+			return f.Base + f.Slope*s.of(size)
+		}
+	}
+	return f.Base
+}
+
+// FitOf chooses the shape with the smallest relative residual: flat where the mean is within 5% of all, or no other shape leaves less than half of its
+// residual. Each size weighs the same, whatever its value.
+func FitOf(sizes, values []float64) (f Fit) {
+	f = Fit{Shape: Unfitted, Power: math.NaN(), PowerError: math.NaN()}
+	if len(sizes) == 0 {
+		return f
+	}
+	f.Base = stat.Mean(values, nil)
+	if len(sizes) < leastFit {
+		return f
+	}
+	f.Power, f.PowerError = power(sizes, values)
+	weights := make([]float64, len(values))
+	scale := max(slices.Max(values), -slices.Min(values))
+	if scale == 0 { // all are nothing
+		f.Shape = Flat
+		return f
+	}
+	for i, v := range values {
+		weights[i] = 1 / math.Pow(max(math.Abs(v), scale/1000), 2)
+	}
+	residual := func(at func(i int) float64) float64 {
+		sum := 0.0
+		for i, v := range values {
+			sum += math.Pow(v-at(i), 2) * weights[i]
+		}
+		return math.Sqrt(sum / float64(len(values)))
+	}
+	mean := stat.Mean(values, weights)
+	f.Shape, f.Base, f.Residual = Flat, mean, residual(func(int) float64 { return mean })
+	flat := f.Residual
+	if flat <= flatUnder {
+		return f
+	}
+	for _, s := range shapes {
+		xs := make([]float64, len(sizes))
+		for i, x := range sizes {
+			xs[i] = s.of(x)
+		}
+		base, slope := stat.LinearRegression(xs, values, weights, false)
+		if r := residual(func(i int) float64 { return base + slope*xs[i] }); r < f.Residual && r < flat/2 {
+			f.Shape, f.Base, f.Slope, f.Residual = s.shape, base, slope, r
+		}
+	}
+	return f
+}
+
+// power fits value = a * size^exponent.
+func power(sizes, values []float64) (exponent, err float64) {
+	var xs, ys []float64
+	for i, v := range values {
+		if v <= 0 {
+			return math.NaN(), math.NaN()
+		}
+		xs, ys = append(xs, math.Log(sizes[i])), append(ys, math.Log(v))
+	}
+	base, exponent := stat.LinearRegression(xs, ys, nil, false)
+	if len(xs) < 3 {
+		return exponent, math.NaN()
+	}
+	sum := 0.0
+	for i := range xs {
+		sum += math.Pow(ys[i]-base-exponent*xs[i], 2)
+	}
+	n := float64(len(xs))
+	return exponent, math.Sqrt(sum / (n - 2) / (stat.Variance(xs, nil) * (n - 1)))
+}
+
+// SeriesOf groups points by sweep and measure, in order, and fits each.
+func SeriesOf(points []Point) (all []Series) {
+	type key struct{ sweep, measure string }
+	values, first := make(map[key]map[int64][]float64), make(map[key]Point)
+	var keys []key
+	for _, p := range points {
+		k := key{p.Sweep, p.Measure}
+		if values[k] == nil {
+			values[k], first[k] = make(map[int64][]float64), p
+			keys = append(keys, k)
+		}
+		values[k][p.Size] = append(values[k][p.Size], p.Value)
+	}
+	slices.SortStableFunc(keys, func(a, b key) int { return cmp.Or(cmp.Compare(a.sweep, b.sweep), cmp.Compare(a.measure, b.measure)) })
+	for _, k := range keys {
+		p := first[k]
+		s := Series{Sweep: k.sweep, Measure: k.measure, Unit: p.Unit, Axis: p.Axis, How: p.How}
+		var sizes []int64
+		for size := range values[k] {
+			sizes = append(sizes, size)
+		}
+		slices.Sort(sizes)
+		for _, size := range sizes {
+			s.Sizes, s.Medians = append(s.Sizes, float64(size)), append(s.Medians, median(values[k][size]))
+		}
+		s.Fit = FitOf(s.Sizes, s.Medians)
+		all = append(all, s)
+	}
+	return all
+}
+
+func median(values []float64) float64 {
+	v := slices.Sorted(slices.Values(values))
+	if n := len(v); n%2 == 0 {
+		return (v[n/2-1] + v[n/2]) / 2
+	}
+	return v[len(v)/2]
+}
+
+// quantile gives the value that a part of all do not pass; of none, nothing.
+func quantile(values []float64, part float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	v := slices.Sorted(slices.Values(values))
+	return stat.Quantile(part, stat.Empirical, v, nil)
+}
--- /dev/null
+++ b/internal/lab/capacity/hollow.go
@@ -0,0 +1,5 @@
+package capacity
+
+func viewSweeps() []Sweep  { return nil }
+func leaseSweeps() []Sweep { return nil }
+func listSweeps() []Sweep  { return nil }
--- /dev/null
+++ b/internal/lab/capacity/tables.go
@@ -0,0 +1,202 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Tables writes the measured series as Markdown, a table for each sweep: the median over the seeds at each size, and the fit.
+func Tables(out io.Writer, k Kept) error {
+	w := &sink{out: out}
+	w.line("Written by `passlab capacity`. Each value is the median over the seeds that were played.\n")
+	w.line("Fit: the shape with the smallest relative residual of flat, logarithm, linear and square, value = base + slope * f(size); the exponent is that of the")
+	w.line("line through the logarithms, with its standard error. Residuals are relative, root mean square.")
+	all := SeriesOf(k.Points)
+	abouts := make(map[string]string)
+	for _, s := range Sweeps() {
+		abouts[s.Name] = s.About
+	}
+	for i := 0; i < len(all); {
+		j := i
+		var sizes []float64
+		for ; j < len(all) && all[j].Sweep == all[i].Sweep; j++ {
+			sizes = append(sizes, all[j].Sizes...)
+		}
+		slices.Sort(sizes)
+		sizes = slices.Compact(sizes)
+		w.line("\n## %s, by %s\n", all[i].Sweep, all[i].Axis)
+		if about := abouts[all[i].Sweep]; about != "" {
+			w.line("%s\n", about)
+		}
+		head, rule := "| measure | unit |", "|---|---|"
+		for _, size := range sizes {
+			head, rule = head+" "+number(size)+" |", rule+"--:|"
+		}
+		w.line("%s how | shape | base | slope | residual | exponent |\n%s---|---|--:|--:|--:|--:|", head, rule)
+		for _, s := range all[i:j] {
+			row := "| " + s.Measure + " | " + s.Unit + " |"
+			for _, size := range sizes {
+				if at, there := slices.BinarySearch(s.Sizes, size); there {
+					row += " " + number(s.Medians[at]) + " |"
+				} else {
+					row += " |"
+				}
+			}
+			w.line("%s %s | %s | %s | %s | %s | %s |", row, s.How, s.Fit.Shape, number(s.Fit.Base), number(s.Fit.Slope), percent(s.Fit.Residual), exponent(s.Fit))
+		}
+		for _, c := range k.Cuts {
+			if c.Sweep == all[i].Sweep {
+				w.line("\nCut off at %d, seed %d: %s.", c.Size, c.Seed, c.Why)
+			}
+		}
+		i = j
+	}
+	for _, c := range k.Cuts {
+		if !slices.ContainsFunc(all, func(s Series) bool { return s.Sweep == c.Sweep }) {
+			w.line("\nCut off, %s at %d, seed %d: %s.", c.Sweep, c.Size, c.Seed, c.Why)
+		}
+	}
+	return w.err
+}
+
+// sink keeps the first error.
+type sink struct {
+	out io.Writer
+	err error
+}
+
+func (w *sink) line(format string, args ...any) {
+	if w.err == nil {
+		_, w.err = fmt.Fprintf(w.out, format+"\n", args...)
+	}
+}
+
+// number writes four digits of a value.
+func number(v float64) string {
+	if a := math.Abs(v); a >= 1000 || v == math.Trunc(v) {
+		return strconv.FormatFloat(math.Round(v), 'f', -1, 64)
+	}
+	return strconv.FormatFloat(v, 'g', 4, 64)
+}
+
+func percent(v float64) string { return strconv.FormatFloat(100*v, 'f', 1, 64) + "%" }
+
+func exponent(f Fit) string {
+	switch {
+	case math.IsNaN(f.Power):
+		return ""
+	case math.IsNaN(f.PowerError):
+		return fmt.Sprintf("%.2f", f.Power)
+	}
+	return fmt.Sprintf("%.2f ± %.2f", f.Power, f.PowerError)
+}
+
+// kindOf tells which chart a unit belongs to, and by what its values are multiplied there; "": none.
+func kindOf(unit string) (kind string, times float64) {
+	first, _, _ := strings.Cut(unit, " ")
+	switch first {
+	case "B/s":
+		return "bytes", 1
+	case "kB/s", "KB/s":
+		return "bytes", 1000
+	case "s":
+		return "time", 1
+	case "ms":
+		return "time", 1e-3
+	case "us", "µs":
+		return "time", 1e-6
+	case "B":
+		return "memory", 1
+	case "kB", "KB":
+		return "memory", 1000
+	case "MB":
+		return "memory", 1e6
+	}
+	return "", 0
+}
+
+// charts are the pictures of bytes, time and memory by size, one for each axis that has some.
+func charts(points []Point) map[string]func(io.Writer) error {
+	labels := map[string]string{"bytes": "bytes a second", "time": "seconds", "memory": "bytes"}
+	by := make(map[[2]string][]Series)
+	for _, s := range SeriesOf(points) {
+		kind, times := kindOf(s.Unit)
+		if kind == "" || len(s.Sizes) < 2 {
+			continue
+		}
+		for i := range s.Medians {
+			s.Medians[i] *= times
+		}
+		by[[2]string{kind, s.Axis}] = append(by[[2]string{kind, s.Axis}], s)
+	}
+	files := make(map[string]func(io.Writer) error)
+	for k, all := range by {
+		files[k[0]+"-"+k[1]+".png"] = func(out io.Writer) error { return chart(out, k[1], labels[k[0]], all) }
+	}
+	return files
+}
+
+// chart draws a line for each series, on two logarithmic axes.
+func chart(out io.Writer, axis, label string, all []Series) error {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = axis, label
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = sizeTicks(all), plot.LogTicks{Prec: -1}
+	p.Add(plotter.NewGrid())
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.TextStyle.Font.Size = vg.Points(7)
+	lines := 0
+	for i, s := range all {
+		var xys plotter.XYs
+		for j := range s.Sizes {
+			if s.Medians[j] > 0 { // nothing has no place on such an axis
+				xys = append(xys, plotter.XY{X: s.Sizes[j], Y: s.Medians[j]})
+			}
+		}
+		if len(xys) < 2 {
+			continue
+		}
+		line, dots, err := plotter.NewLinePoints(xys)
+		if err != nil {
+			return err
+		}
+		line.Color, dots.Color, dots.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
+		p.Add(line, dots)
+		p.Legend.Add(s.Sweep+" "+s.Measure+", "+s.Unit, line, dots)
+		lines++
+	}
+	if lines == 0 {
+		p.X.Scale, p.Y.Scale = plot.LinearScale{}, plot.LinearScale{}
+	} else {
+		p.Y.Max *= math.Pow(10, float64(lines)*0.12) // room for the legend
+	}
+	w, err := p.WriterTo(9*vg.Inch, 7*vg.Inch, "png")
+	if err != nil {
+		return err
+	}
+	_, err = w.WriteTo(out)
+	return err
+}
+
+// sizeTicks marks the sizes that were played.
+func sizeTicks(all []Series) plot.ConstantTicks {
+	var sizes []float64
+	for _, s := range all {
+		sizes = append(sizes, s.Sizes...)
+	}
+	slices.Sort(sizes)
+	var ticks plot.ConstantTicks
+	for _, size := range slices.Compact(sizes) {
+		ticks = append(ticks, plot.Tick{Value: size, Label: number(size)})
+	}
+	return ticks
+}
--- a/internal/lab/keep.go
+++ b/internal/lab/keep.go
@@ -31,14 +31,15 @@
 			return chart(out, rows, "seconds of service lost by a fall", func(r Row) float64 { return r.Lost })
 		},
 	} {
-		if err := whole(filepath.Join(folder, name), write); err != nil {
+		if err := Whole(filepath.Join(folder, name), write); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
 	}
 	return nil
 }
 
-func whole(name string, write func(io.Writer) error) error {
+// Whole writes a file that is there whole or not at all.
+func Whole(name string, write func(io.Writer) error) error {
 	f, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name))
 	if err != nil {
 		return err
