--- a/internal/emu/play/play_test.go
+++ b/internal/emu/play/play_test.go
@@ -90,6 +90,9 @@
 	if _, err := ParseScript([]byte(good), "x.hcl"); err != nil {
 		t.Fatal(err)
 	}
+	if s, err := ParseScript([]byte(strings.Replace(good, "members = 3", "members = 2\n  groups = 1100", 1)), "x.hcl"); err != nil || s.Groups*s.Members != 2200 {
+		t.Fatal("2,200 members in groups of two:", err)
+	}
 	for _, c := range []struct{ old, new, want string }{
 		{`lasts = "5s"`, `lasts = "5 seconds"`, `x.hcl:1: lasts: "5 seconds" is no time`},
 		{`drivers = 1`, `drivers = 1000`, `x.hcl:3: fleet drivers: 1000 is not from 1 to 500`},
@@ -102,7 +105,8 @@
 		{`drivers = 1`, `driver = 1`, `x.hcl:3:3: Unsupported argument`},
 		{`share = 1`, ``, `Missing required argument`},
 		{`on = [0]`, `part = 1.5`, `x.hcl:18: trouble 1 part: 1.5 is not from 0 to 1`},
-		{`members = 3`, "members = 3\n  groups = -2", `fleet groups: -2 is not from 1 to 100`},
+		{`members = 3`, "members = 3\n  groups = -2", `fleet groups: -2 is not from 1 to 1100`},
+		{`members = 3`, "members = 2\n  groups = 1101", `fleet groups: 1101 is not from 1 to 1100`},
 		{"\"kill\" {\n  at = \"1s\"\n  on = [0]", "\"cut\" {\n  at = \"1s\"\n  every = \"1ns\"\n  on = [0]", `trouble 1 every: 1ns is under 10ms`},
 		{`on = [0]`, `rate = 5`, `x.hcl:18: trouble 1 rate: kill has no use for it`},
 		{`on = [0]`, `from = ["drivers"]`, `kill has no use for from and to`},
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -276,6 +276,9 @@
 	return lines
 }
 
+// mostGroups is what 2,200 members in groups of two need.
+const mostGroups = 1100
+
 func (t *text) script(name string, wrong func(path, format string, args ...any)) *Script {
 	span := func(path, value string, otherwise time.Duration) time.Duration {
 		if value == "" {
@@ -312,7 +315,7 @@
 	}
 	f := &t.Fleet
 	s := &Script{
-		Lasts: span("lasts", t.Lasts, 0), Drivers: count("fleet drivers", f.Drivers, 1, 500), Groups: count("fleet groups", f.Groups, 1, 100),
+		Lasts: span("lasts", t.Lasts, 0), Drivers: count("fleet drivers", f.Drivers, 1, 500), Groups: count("fleet groups", f.Groups, 1, mostGroups),
 		Members: count("fleet members", f.Members, 1, 50), ListDelay: span("fleet list_delay", f.ListDelay, time.Second), Grace: 250 * time.Millisecond,
 		Build: emu.Build{Cores: count("fleet cores", f.Cores, 4, 256), Queue: count("fleet queue", f.Queue, 64, 10000), Cold: 0.25,
 			Warm: span("fleet warm", f.Warm, 16*time.Second), Multiple: 4, Tips: time.Second, Patience: 50 * time.Millisecond,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -693,6 +693,14 @@
 	return all
 }
 
+// Of gives what is known of one driver; false: nothing.
+func (v *View) Of(n Node) (e Entry, known bool) {
+	if k := v.nodes[n]; k != nil {
+		return k.Entry, true
+	}
+	return e, false
+}
+
 // Living counts those that are not known to be gone, with this driver.
 func (v *View) Living() int { return v.count() }
 
--- a/internal/loop/sim/sockets.go
+++ b/internal/loop/sim/sockets.go
@@ -61,6 +61,7 @@
 
 // touch notes that the socket may be ready.
 func (s *socket) touch() {
+	s.host.change()
 	if !s.isActive && !s.closed {
 		s.isActive = true
 		s.host.active = append(s.host.active, s)
@@ -97,7 +98,10 @@
 
 func (h *Host) Clock() time.Duration { return h.world.now }
 func (h *Host) Held() (int, error)   { return 3, nil }
-func (h *Host) Ring()                { h.bell = true }
+func (h *Host) Ring() {
+	h.bell = true
+	h.change()
+}
 
 // Wait gives what is ready now: simulated time passes between turns only.
 func (h *Host) Wait(events []loop.Event, most time.Duration) (n int, err error) {
@@ -153,7 +157,7 @@
 	fd := h.add(s)
 	place := w.places[to]
 	if place == nil { // nobody has ever listened there, or no more
-		w.At(w.now+2*Plain.Delay, func() { s.refuse(unix.ECONNREFUSED) })
+		w.at(w.now+2*Plain.Delay, func() { s.refuse(unix.ECONNREFUSED) })
 		return fd, nil
 	}
 	s.way = way{road: road{h, to}, from: h, to: place.host}
@@ -222,15 +226,15 @@
 	land = func() {
 		if now := w.link(by); now.Cut {
 			if again {
-				w.At(w.now+max(now.Resend, time.Millisecond), land)
+				w.at(w.now+max(now.Resend, time.Millisecond), land)
 			}
 			return
 		}
 		arrive()
 	}
-	w.At(at, land)
+	w.at(at, land)
 	if !again && l.Double > 0 && w.chance.Float() < l.Double {
-		w.At(at+time.Duration(w.chance.Float()*float64(max(l.Late, l.Delay))), land)
+		w.at(at+time.Duration(w.chance.Float()*float64(max(l.Late, l.Delay))), land)
 	}
 	return at
 }
@@ -413,13 +417,20 @@
 }
 
 func (h *Host) Send(fd int, to netip.AddrPort, text []byte) {
+	if h.world.Posted != nil {
+		h.world.Posted(h, to, text)
+	}
 	if s := h.sockets[fd]; s != nil {
 		for _, each := range h.world.crowds[to] {
 			if each != s.at {
-				h.Send(fd, each, text)
+				h.post(fd, each, text)
 			}
 		}
 	}
+	h.post(fd, to, text)
+}
+
+func (h *Host) post(fd int, to netip.AddrPort, text []byte) {
 	s, place := h.sockets[fd], h.world.places[to]
 	if s == nil || place == nil {
 		return
--- a/internal/loop/sim/world.go
+++ b/internal/loop/sim/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"passtack/internal/due"
@@ -37,11 +38,18 @@
 	chance  *pcg.Source
 	queue   due.Queue[func()]
 	hosts   []*Host
+	wakes   due.Queue[*Host]           // hosts by when they have something to do
+	touched []*Host                    // of which that may not hold any more, since the latest look
+	changed []*Host                    // and before it, each once
+	turns   []*Host                    // of this moment
 	places  map[netip.AddrPort]*socket // who listens, or takes datagrams
 	links   map[[2]*Host]Link
 	roads   map[road][2]Link
 	crowds  map[netip.AddrPort][]netip.AddrPort
 	ordinal int
+
+	Between func(from, to *Host) (Link, bool)                // how bytes go where nothing else is said; false: Plain
+	Posted  func(from *Host, to netip.AddrPort, text []byte) // hears of each datagram as it is sent, once if it is for a crowd
 }
 
 // road is the way between a host and one of the places that another host listens at.
@@ -67,14 +75,22 @@
 func (w *World) Now() time.Duration { return w.now }
 
 // At calls once the time has come.
-func (w *World) At(at time.Duration, act func()) { w.queue.Push(max(at, w.now), act) }
+func (w *World) At(at time.Duration, act func()) {
+	w.at(at, func() {
+		act()
+		w.allChanged() // it may have touched anything
+	})
+}
+
+// at is At for what tells of each host that it changes.
+func (w *World) at(at time.Duration, act func()) { w.queue.Push(max(at, w.now), act) }
 
 // Hosts are the machines, as they were added.
 func (w *World) Hosts() []*Host { return w.hosts }
 
 // Host adds a machine.
 func (w *World) Host(name string) *Host {
-	h := &Host{Name: name, world: w, sockets: make(map[int]*socket), next: 3, Cost: 20 * time.Microsecond}
+	h := &Host{Name: name, world: w, number: len(w.hosts), sockets: make(map[int]*socket), next: 3, Cost: 20 * time.Microsecond}
 	w.hosts = append(w.hosts, h)
 	return h
 }
@@ -117,23 +133,25 @@
 	if l, told := w.links[[2]*Host{by.from, by.to}]; told {
 		return l
 	}
+	if w.Between != nil {
+		if l, told := w.Between(by.from, by.to); told {
+			return l
+		}
+	}
 	return Plain
 }
 
 // Run goes on until the time, or until nothing is left that could happen.
 func (w *World) Run(until time.Duration) {
+	w.allChanged() // by whoever called
 	for {
 		for act, ok := w.queue.Pop(w.now); ok; act, ok = w.queue.Pop(w.now) {
 			act()
 		}
-		for _, h := range w.hosts {
-			h.turn()
-		}
+		w.turn()
 		next, any := w.queue.First()
-		for _, h := range w.hosts {
-			if at, ok := h.wakes(); ok && (!any || at < next) {
-				next, any = at, true
-			}
+		if at, ok := w.wakes.First(); ok && (!any || at < next) {
+			next, any = at, true
 		}
 		if !any || next > until {
 			w.now = max(w.now, until)
@@ -143,12 +161,75 @@
 	}
 }
 
+// turn lets each host that has something to do now turn once, in the order of their numbers. One that another has given something to do in
+// this turn has its own yet if its number is the higher one.
+func (w *World) turn() {
+	w.look(nil)
+	w.order()
+	w.turns = w.turns[:0]
+	for h, ok := w.wakes.Pop(w.now); ok; h, ok = w.wakes.Pop(w.now) {
+		h.wake = nil
+		w.turns = append(w.turns, h)
+	}
+	slices.SortFunc(w.turns, byNumber)
+	for i := 0; i < len(w.turns); i++ {
+		h := w.turns[i]
+		h.turn()
+		h.change()
+		w.look(h)
+	}
+	w.order()
+}
+
+func byNumber(a, b *Host) int { return a.number - b.number }
+
+// look notes who was touched; who has something to do now and comes behind a host whose turn it was, has its own next.
+func (w *World) look(behind *Host) {
+	for _, h := range w.touched {
+		if !h.changed {
+			h.changed = true
+			w.changed = append(w.changed, h)
+		}
+		if behind == nil || h.number <= behind.number {
+			continue
+		}
+		if at, ok := h.wakes(); ok && at <= w.now {
+			if place, there := slices.BinarySearchFunc(w.turns, h, byNumber); !there {
+				w.turns = slices.Insert(w.turns, place, h)
+			}
+		}
+	}
+	w.touched = w.touched[:0]
+}
+
+// order brings the order of wakes up to date.
+func (w *World) order() {
+	for _, h := range w.changed {
+		h.changed = false
+		w.wakes.Remove(h.wake)
+		h.wake = nil
+		if at, ok := h.wakes(); ok {
+			h.wake = w.wakes.Push(at, h)
+		}
+	}
+	w.changed = w.changed[:0]
+}
+
+func (w *World) allChanged() {
+	for _, h := range w.hosts {
+		h.change()
+	}
+}
+
 // Host is one machine with one program on its loop.
 type Host struct {
 	Name string
 	Cost time.Duration // of a turn of its loop, in which it does nothing else
 
 	world   *World
+	number  int
+	wake    *due.Item[*Host] // nil: it has nothing to do, or is having its turn
+	changed bool             // it is among those
 	loop    *loop.Loop
 	rung    func()
 	bell    bool
@@ -161,21 +242,29 @@
 }
 
 // Serve lets the world turn a loop that was made on this host. Rung is called after each Ring.
-func (h *Host) Serve(l *loop.Loop, rung func()) { h.loop, h.rung = l, rung }
+func (h *Host) Serve(l *loop.Loop, rung func()) {
+	h.loop, h.rung = l, rung
+	h.change()
+}
 
 // Do lets the program's loop call, in its next turn.
 func (h *Host) Do(act func()) {
 	if h.loop != nil {
 		h.loop.At(h.world.now, act)
+		h.change()
 	}
 }
 
 // Pause lets the program stand still; its machine goes on taking what comes.
-func (h *Host) Pause(until time.Duration) { h.paused = max(h.paused, until) }
+func (h *Host) Pause(until time.Duration) {
+	h.paused = max(h.paused, until)
+	h.change()
+}
 
 // Kill ends the program at once: its connections are reset and new ones refused.
 func (h *Host) Kill() {
 	h.dead, h.loop = true, nil
+	h.change()
 	for fd := 3; fd < h.next; fd++ {
 		if s := h.sockets[fd]; s != nil {
 			s.reset()
@@ -188,6 +277,13 @@
 // Start lets another program run on the host.
 func (h *Host) Start() { h.dead = false }
 
+// change notes that the host may have something to do at another time than before.
+func (h *Host) change() {
+	if w := h.world; len(w.touched) == 0 || w.touched[len(w.touched)-1] != h {
+		w.touched = append(w.touched, h)
+	}
+}
+
 // wakes tells when the host has something to do.
 func (h *Host) wakes() (at time.Duration, ok bool) {
 	if h.loop == nil || h.loop.Stopped() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -356,6 +356,9 @@
 // Count adds one to a counter.
 func (n *Node) Count(what string) { n.counts[what]++ }
 
+// Counted gives a counter.
+func (n *Node) Counted(what string) int { return n.counts[what] }
+
 func (n *Node) print() {
 	open, most := n.loop.Open()
 	members := 0
--- a/internal/node/view.go
+++ b/internal/node/view.go
@@ -110,6 +110,14 @@
 	})
 }
 
+// View gives the driver's view of its fleet, nil where it has none.
+func (n *Node) View() *fleet.View {
+	if n.view == nil {
+		return nil
+	}
+	return n.view.seen
+}
+
 // SeenDriver is one driver in another's view. Times are in milliseconds.
 type SeenDriver struct {
 	Name, Status, Cause string
