A start costs the fleet no square: nobody fetches the view of one that has just started

Growth test: exponent 2.12 over 20 to 160 drivers before. Who says it has started within the last three questions is not fetched from: it knows less, and fetches itself. Also: the check of hollow drivers with processes, joined folders, growth tests.

--- a/cmd/passlab/capacity.go
+++ b/cmd/passlab/capacity.go
@@ -18,14 +18,16 @@
 
 // sweeps measures how what a fleet costs grows with its size.
 type sweeps struct {
-	Sweep  []string      `arg:"" optional:"" help:"Names of sweeps; none: all."`
-	Size   []int         `help:"Only these sizes."`
-	Seeds  string        `help:"A seed, or a range as 1..3." default:"1..3"`
-	Time   time.Duration `help:"What one sweep at one size may take before it is cut off." default:"10m"`
-	Memory int64         `help:"MB that this process may hold before a sweep is cut off." default:"4096"`
-	Out    string        `help:"Folder for rows.csv, rows.parquet, cut.json, tables.md and charts; what it has of other sweeps, sizes and seeds stays." type:"path" default:"docs/results/capacity"`
-	List   bool          `help:"Name the sweeps and what they play."`
-	Tables bool          `help:"Play nothing; write the tables and charts of what the folder has."`
+	Sweep   []string      `arg:"" optional:"" help:"Names of sweeps; none: all."`
+	Size    []int         `help:"Only these sizes."`
+	Seeds   string        `help:"A seed, or a range as 1..3." default:"1..3"`
+	Time    time.Duration `help:"What one sweep at one size may take before it is cut off." default:"10m"`
+	Memory  int64         `help:"MB that this process may hold before a sweep is cut off." default:"4096"`
+	Program string        `help:"What sweeps with processes start as drivers." type:"existingfile" placeholder:"FILE"`
+	Out     string        `help:"Folder for rows.csv, rows.parquet, cut.json, tables.md and charts; what it has of other sweeps, sizes and seeds stays." type:"path" default:"docs/results/capacity"`
+	Add     []string      `help:"Folders whose rows are taken in first." type:"existingdir" placeholder:"FOLDER"`
+	List    bool          `help:"Name the sweeps and what they play."`
+	Tables  bool          `help:"Play nothing; write the tables and charts of what the folder has."`
 }
 
 func (c *sweeps) Run() error {
@@ -55,6 +57,14 @@
 	if err != nil {
 		return err
 	}
+	for _, folder := range c.Add {
+		other, err := capacity.Read(folder)
+		if err != nil {
+			return err
+		}
+		kept.Add(other.Points, other.Cuts)
+	}
+	capacity.Program = c.Program
 	stop, end := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer end()
 	if c.Tables {
--- a/internal/emu/play/emulate.go
+++ b/internal/emu/play/emulate.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	places, err := free(1 + s.Groups*s.Members)
+	places, err := Free(1 + s.Groups*s.Members)
 	if err != nil {
 		return err
 	}
--- a/internal/emu/play/site.go
+++ b/internal/emu/play/site.go
@@ -9,8 +9,8 @@
 	"strings"
 )
 
-// free finds addresses of this machine's loopback that are free now.
-func free(n int) (places []netip.AddrPort, err error) {
+// Free finds addresses of this machine's loopback that are free now.
+func Free(n int) (places []netip.AddrPort, err error) {
 	for range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -90,6 +90,7 @@
 	healthMost = 8   // times that a driver which is slow itself gives others more time, at most
 	tellTimes  = 4   // times the decimal logarithm of the fleet that one change is told
 	strangers  = 10  // questions between two to an address of which nobody alive is known
+	youth      = 3   // questions in which nobody fetches the view of one that has started
 	forgets    = 600 // questions until what is dead is forgotten
 	remembers  = 4096
 	mostNodes  = 4096
@@ -526,11 +527,18 @@
 	case opGive:
 		v.given(from, m, now)
 	}
-	if m.view != v.Sum() {
+	if m.view != v.Sum() && !v.young(sender, now) {
 		v.fetch(from, now)
 	}
 }
 
+// young tells of a driver that has just started: it knows less than others, and fetches itself. If all of a fleet fetched from it what they know
+// already, a start would cost with the square of the fleet. By a clock that is off it may count as older, never for longer as young.
+func (v *View) young(k *known, now time.Duration) bool {
+	age := now - time.Duration(k.Life)
+	return k != v.self && age >= 0 && age < youth*v.terms.Every
+}
+
 // answered ends the question that is out.
 func (v *View) answered(number uint32, by Node, now time.Duration) {
 	if number == 0 || number != v.probe.number || by != v.probe.node {
--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -45,7 +45,7 @@
 }
 
 // sources are where the sweeps come from.
-var sources = []func() []Sweep{viewSweeps, leaseSweeps, listSweeps}
+var sources = []func() []Sweep{viewSweeps, leaseSweeps, listSweeps, processSweeps}
 
 // Sweeps are all that there are, in the order in which they are played.
 func Sweeps() (all []Sweep) {
@@ -141,7 +141,7 @@
 		got, err := one(c, b, p)
 		why := error(nil)
 		switch {
-		case errors.Is(err, ErrTime), errors.Is(err, ErrMemory):
+		case errors.Is(err, ErrTime), errors.Is(err, ErrMemory), errors.Is(err, ErrProgram):
 			why = err
 			passed[p.Sweep.Name] = p.Size
 			cuts = append(cuts, Cut{p.Sweep.Name, p.Size, p.Seed, err.Error()})
--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,151 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each shape is found again in values that have it, with its slope and the exponent.
+func TestFitsFindTheShape(t *testing.T) {
+	sizes := []float64{30, 100, 235, 470, 940}
+	for _, c := range []struct {
+		shape    Shape
+		of       func(x float64) float64
+		exponent float64
+	}{
+		{Flat, func(float64) float64 { return 180 }, 0}, {Logarithm, func(x float64) float64 { return 3 * math.Log(x) }, math.NaN()},
+		{Linear, func(x float64) float64 { return 5 * x }, 1}, {Linear, func(x float64) float64 { return 4000 + 5*x }, math.NaN()},
+		{Square, func(x float64) float64 { return 0.5 * x * x }, 2}, {Flat, func(float64) float64 { return 0 }, math.NaN()},
+	} {
+		var values []float64
+		for i, x := range sizes {
+			values = append(values, c.of(x)*(1+0.01*float64(1-i%2*2)))
+		}
+		f := FitOf(sizes, values)
+		if f.Shape != c.shape || f.Residual > 0.05 || !math.IsNaN(c.exponent) && math.Abs(f.Power-c.exponent) > 0.03 {
+			t.Errorf("%s: %+v", c.shape, f)
+		}
+		if at := f.At(470); math.Abs(at-c.of(470)) > 0.05*c.of(470) {
+			t.Errorf("%s: %v at 470, not %v", c.shape, at, c.of(470))
+		}
+	}
+	if f := FitOf([]float64{1, 2}, []float64{1, 2}); f.Shape != Unfitted {
+		t.Errorf("two sizes: %+v", f)
+	}
+}
+
+func told(int, Part, time.Duration, error) {}
+
+// What passes a bound is ended and told as cut off, with all larger sizes of its sweep; others go on.
+func TestBoundsCutOff(t *testing.T) {
+	kept := []byte(nil)
+	sweep := func(name string, play func(stop context.Context, size int) error) Sweep {
+		return Sweep{Name: name, Axis: Drivers, Sizes: []int{1, 2, 3}, Play: func(stop context.Context, size int, seed uint64, point func(Point)) error {
+			point(Point{Measure: "size", Unit: "B", Value: float64(size)})
+			return play(stop, size)
+		}}
+	}
+	all := []Sweep{
+		sweep("slow", func(stop context.Context, size int) error {
+			if size > 1 {
+				<-stop.Done()
+			}
+			return stop.Err()
+		}),
+		sweep("large", func(stop context.Context, size int) error {
+			if size > 1 {
+				kept = make([]byte, 200<<20)
+				for i := range kept {
+					kept[i] = 1
+				}
+				<-stop.Done()
+			}
+			return nil
+		}),
+		sweep("quick", func(context.Context, int) error { return nil }),
+	}
+	parts, err := Pick(all, nil, nil, []uint64{1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	points, cuts, err := Play(context.Background(), Bounds{500 * time.Millisecond, Held() + 100<<20}, parts, told)
+	kept = nil
+	if err != nil || len(points) != 5 || len(cuts) != 4 {
+		t.Fatalf("%v, %d points, %+v", err, len(points), cuts)
+	}
+	for i, want := range []string{"longer than its bound of 500ms", "not played: size 2", "more memory than its bound", "not played: size 2"} {
+		if !strings.Contains(cuts[i].Why, want) {
+			t.Errorf("%+v has no %q", cuts[i], want)
+		}
+	}
+	broken := sweep("broken", func(_ context.Context, size int) error { return errors.New("out of tune") })
+	if _, _, err := Play(context.Background(), Bounds{time.Minute, 1 << 40}, []Part{{broken, 2, 7}}, told); err == nil || err.Error() != "sweep broken, size 2, seed 7: out of tune" {
+		t.Errorf("%v", err)
+	}
+}
+
+func TestMistakesInWhatIsPlayed(t *testing.T) {
+	for want, c := range map[string]struct {
+		names []string
+		sizes []int
+	}{
+		`sweep "veiw": there is none; there are view,`: {names: []string{"veiw"}},
+		"size 471: none of the sweeps has it":          {sizes: []int{471}},
+	} {
+		if _, err := Pick(Sweeps(), c.names, c.sizes, []uint64{1}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v has no %q", err, want)
+		}
+	}
+	if _, _, err := Play(context.Background(), Bounds{time.Minute, 1 << 40}, []Part{{processSweeps()[0], 10, 1}}, told); err != nil {
+		t.Errorf("processes without a program are a cut, not %v", err)
+	}
+}
+
+// A folder keeps the rows of all runs; what is played again goes over what was there, and a cut over rows.
+func TestKeptAndReadAgain(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "kept")
+	var k Kept
+	for _, size := range []int64{30, 100, 235} {
+		for seed := range uint64(2) {
+			k.Add([]Point{{Sweep: "view", Measure: "bytes", Unit: "B/s per driver", Axis: "drivers", Size: size, Seed: seed, Value: float64(size), How: "simulated"}}, nil)
+		}
+	}
+	k.Add([]Point{{Sweep: "view", Measure: "bytes", Unit: "B/s per driver", Axis: "drivers", Size: 30, Seed: 1, Value: 34, How: "simulated"}}, nil)
+	k.Add(nil, []Cut{{"view", 100, 1, "it took longer"}})
+	if err := k.Keep(folder); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Read(folder)
+	if err != nil || len(again.Points) != 5 || len(again.Cuts) != 1 {
+		t.Fatalf("%v, %+v", err, again)
+	}
+	var text bytes.Buffer
+	if err := Tables(&text, again); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"## view, by drivers", "| bytes | B/s per driver | 32 | 100 | 235 | simulated | linear |", "Cut off at 100, seed 1: it took longer."} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %q in %s", want, text.String())
+		}
+	}
+	for _, name := range []string{"rows.csv", "rows.parquet", "cut.json", "tables.md", "bytes-drivers.png"} {
+		if s, err := os.Stat(filepath.Join(folder, name)); err != nil || s.Size() < 20 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	os.WriteFile(filepath.Join(folder, "cut.json"), []byte("{"), 0o600)
+	if _, err := Read(folder); err == nil || !strings.Contains(err.Error(), "cut.json") {
+		t.Errorf("a broken cut.json: %v", err)
+	}
+	os.WriteFile(filepath.Join(folder, "rows.parquet"), []byte("PAR1"), 0o600)
+	if _, err := Read(folder); err == nil || !strings.Contains(err.Error(), "rows.parquet") {
+		t.Errorf("a broken rows.parquet: %v", err)
+	}
+}
--- a/internal/lab/capacity/hollow.go
+++ b/internal/lab/capacity/hollow.go
@@ -312,7 +312,7 @@
 		Size     float64 `json:"capacity_hint"`
 		Booted   int64   `json:"boot_ms"`
 	}
-	var targets []target
+	targets := []target{}
 	for m := range d.members {
 		state := "in_service"
 		if m == d.drains && d.rev > 1 {
--- a/internal/lab/capacity/views.go
+++ b/internal/lab/capacity/views.go
@@ -79,6 +79,16 @@
 	return nil
 }
 
+// most is what the worst driver has sent and taken a second since then.
+func (f *hollow) most(from time.Duration) (most float64) {
+	for i := range f.sent {
+		_, s := f.sent[i].of(peers.Fleet)
+		_, t := f.taken[i].of(peers.Fleet)
+		most = max(most, (s+t)/max((f.world.Now()-from).Seconds(), 0.1))
+	}
+	return most
+}
+
 func playView(stop context.Context, size int, seed uint64, point func(Point)) error {
 	p := Point{Drivers: int64(size), Members: few, How: "simulated"}
 	one := func(measure, unit string, value float64) {
@@ -109,7 +119,9 @@
 		return err
 	}
 	gone := size / 3
+	f.forget()
 	f.kill(gone)
+	from := f.world.Now()
 	when, never, err := f.until(3*time.Minute, 20*time.Millisecond, func(i int) bool {
 		s, _ := f.sees(i, gone)
 		return s >= fleet.Dead
@@ -120,11 +132,13 @@
 	if err := times(point, p, "crash_known", when, never); err != nil {
 		return err
 	}
+	one("crash_bytes_worst", "B/s of the worst, sent and taken, until all know of a crash", f.most(from))
 	if err := f.run(20 * time.Second); err != nil {
 		return err
 	}
 	f.forget()
-	began := uint64(f.world.Now())
+	from = f.world.Now()
+	began := uint64(from)
 	if err := f.start(gone); err != nil {
 		return err
 	}
@@ -148,7 +162,7 @@
 	}
 	leaves := size / 2
 	f.hosts[leaves].Do(func() { f.nodes[leaves].View().Leave(f.world.Now()) })
-	from := f.world.Now()
+	from = f.world.Now()
 	if err := f.run(100 * time.Millisecond); err != nil { // it goes on for a while to answer what it has taken
 		return err
 	}
@@ -270,13 +284,7 @@
 	if err := times(point, p, "cut_known", when, never); err != nil {
 		return err
 	}
-	took = (f.world.Now() - cutAt).Seconds()
-	var while []float64
-	for i := range f.sent {
-		_, b := f.sent[i].of(peers.Fleet)
-		while = append(while, b/took)
-	}
-	one("cut_noticing_bytes_worst", "B/s of the worst, sent, until it is known", worst(while))
+	one("cut_noticing_bytes_worst", "B/s of the worst, sent and taken, until it is known", f.most(cutAt))
 	if err := f.run(cutAt + 11*time.Minute - f.world.Now()); err != nil {
 		return err
 	}
@@ -292,12 +300,6 @@
 	if err := times(point, p, "heal_known", when, never); err != nil {
 		return err
 	}
-	took = max((f.world.Now() - healed).Seconds(), 0.1)
-	while = nil
-	for i := range f.sent {
-		_, b := f.sent[i].of(peers.Fleet)
-		while = append(while, b/took)
-	}
-	one("heal_bytes_worst", "B/s of the worst, sent, until all know all", worst(while))
+	one("heal_bytes_worst", "B/s of the worst, sent and taken, until all know all", f.most(healed))
 	return nil
 }
