--- a/internal/lab/capacity/driver_met.go
+++ b/internal/lab/capacity/driver_met.go
@@ -11,8 +11,8 @@
 	"passtack/internal/operator"
 )
 
-// epoch is when simulated time begins, as Unix time.
-const epoch = 1767225600 * time.Second
+// simulatedFrom is when simulated time begins, as Unix time.
+const simulatedFrom = 1767225600 * time.Second
 
 // met is one driver before members in simulated time: how often it meets each, and so what it knows of them.
 type met struct {
@@ -30,7 +30,7 @@
 
 // play plays it to its end, unless it is told to stop.
 func (m *met) play(stop context.Context, seed uint64) error {
-	world := sim.New(seed, epoch)
+	world := sim.New(seed, simulatedFrom)
 	field, crowd, host := world.Host("members"), world.Host("clients"), world.Host("d0")
 	field.Cost, crowd.Cost = 0, 0
 	loops := make([]*loop.Loop, 3)
@@ -46,7 +46,7 @@
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 5432)
 	}
 	listen, discovery := netip.MustParseAddrPort("10.0.0.1:6543"), netip.MustParseAddrPort("10.2.0.1:8500")
-	from := epoch + m.warm
+	from := simulatedFrom + m.warm
 	m.ground = ground{work: simulatedWork, from: from, to: from + m.lasts}
 	if err := m.ground.stand(loops[0], m.members, place, discovery); err != nil {
 		return err
@@ -60,8 +60,8 @@
 	}
 	m.crowd = newCrowd(listen, seed, m.clients, m.members, m.rate)
 	m.crowd.from, m.crowd.until = from, from+m.lasts
-	loops[1].At(epoch+time.Second, func() { m.crowd.begin(loops[1]) })
-	for at := epoch + time.Second; at <= from+m.lasts; at += time.Second {
+	loops[1].At(simulatedFrom+time.Second, func() { m.crowd.begin(loops[1]) })
+	for at := simulatedFrom + time.Second; at <= from+m.lasts; at += time.Second {
 		world.Run(at)
 		if stop.Err() != nil {
 			return stop.Err()
--- a/internal/lab/capacity/driver_process.go
+++ b/internal/lab/capacity/driver_process.go
@@ -18,22 +18,8 @@
 	"passtack/internal/loop"
 )
 
-// Program is the passtack program that sweeps with processes start; "": the one beside this program, or else in the path.
-var Program string
-
-func program() (string, error) {
-	if Program != "" {
-		return Program, nil
-	}
-	if self, err := os.Executable(); err == nil {
-		if beside := filepath.Join(filepath.Dir(self), "passtack"); beside != self {
-			if _, err := os.Stat(beside); err == nil {
-				return beside, nil
-			}
-		}
-	}
-	return exec.LookPath("passtack")
-}
+// errNoProgram is why a process of the driver is not played.
+var errNoProgram = errors.New("it starts a driver as a process, and no program is given")
 
 // serving is one play of a process of the driver, before members and clients of this process.
 type serving struct {
@@ -54,14 +40,14 @@
 // sockets are those that a driver is given: it ends clients that rest beyond a fifth of them.
 func (s serving) sockets() int { return min(5*s.clients+2*s.members+256, 19000) }
 
-// process is a driver under measurement.
-type process struct {
+// driverProcess is a driver under measurement.
+type driverProcess struct {
 	cmd   *exec.Cmd
 	ended chan struct{}
 }
 
-func start(stop context.Context, path, site string) (*process, error) {
-	p := &process{cmd: exec.Command(path, "serve", "--site", site), ended: make(chan struct{})}
+func start(stop context.Context, path, site string) (*driverProcess, error) {
+	p := &driverProcess{cmd: exec.Command(path, "serve", "--site", site), ended: make(chan struct{})}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := p.cmd.StderrPipe()
 	if err != nil {
@@ -96,7 +82,7 @@
 	}
 }
 
-func (p *process) end() {
+func (p *driverProcess) end() {
 	p.cmd.Process.Kill()
 	<-p.ended
 }
@@ -109,7 +95,7 @@
 	waits        int // times that its threads slept by themselves
 }
 
-func (p *process) spent() (s spent, err error) {
+func (p *driverProcess) spent() (s spent, err error) {
 	root := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
 	text, err := os.ReadFile(root + "stat")
 	if err != nil {
@@ -169,9 +155,8 @@
 
 // play starts a driver before members and clients of this process, lets it settle and measures it.
 func (s serving) play(stop context.Context, seed uint64) (o *outcome, err error) {
-	path, err := program()
-	if err != nil {
-		return nil, err
+	if Program == "" {
+		return nil, errNoProgram
 	}
 	folder, err := os.MkdirTemp("", "capacity")
 	if err != nil {
@@ -215,7 +200,7 @@
 		})
 	}
 	go turn(field)
-	p, err := start(stop, path, file)
+	p, err := start(stop, Program, file)
 	if err != nil {
 		close(stops)
 		field.Ring()
--- a/internal/lab/capacity/driver_state.go
+++ b/internal/lab/capacity/driver_state.go
@@ -24,14 +24,14 @@
 
 // held counts the bytes that what build makes holds on the heap, beyond what it found there.
 func held(build func() (any, error)) (bytes float64, err error) {
-	from := heap()
+	from := heapBytes()
 	what, err := build()
-	bytes = heap() - from
+	bytes = heapBytes() - from
 	runtime.KeepAlive(what)
 	return bytes, err
 }
 
-func heap() float64 {
+func heapBytes() float64 {
 	var s runtime.MemStats
 	runtime.GC()
 	runtime.GC() // what the first has found to be finalized
@@ -102,7 +102,7 @@
 
 // module makes one that knows so many members in groups of each; remembered lets it keep its sessions' writes.
 func module(members, each int, remembered bool) *quiet {
-	q := &quiet{now: epoch, ids: make(map[string]driver.Member)}
+	q := &quiet{now: simulatedFrom, ids: make(map[string]driver.Member)}
 	terms := settingsTerms(designDrivers, false, soft)
 	if remembered {
 		terms["family_info.token"] = "remembered"
@@ -142,7 +142,7 @@
 	}
 }
 
-func placeOf(n int) netip.AddrPort {
+func memberPlace(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 5432)
 }
 
@@ -174,7 +174,7 @@
 		return bytes, err
 	}
 	groups := (members + perGroup - 1) / perGroup
-	heap() // what the runtime makes at the first time is there from now on
+	heapBytes() // what the runtime makes at the first time is there from now on
 	fives, err := count("rules_members", members, func() (any, error) { return module(members, perGroup, false), nil })
 	if err != nil {
 		return err
@@ -185,14 +185,14 @@
 	}
 	point("rules_group", "bytes", (ones-fives)/float64(members-groups))
 	if _, err := count("pool_members", members, func() (any, error) {
-		l, err := loop.On(sim.New(1, epoch).Host("d0"), 1<<15, 1<<20)
+		l, err := loop.On(sim.New(1, simulatedFrom).Host("d0"), 1<<15, 1<<20)
 		if err != nil {
 			return nil, err
 		}
 		opens := comeback.NewOpens(250 * time.Millisecond)
 		p := member.New(l, new(quiet), &pgmember.Tongue{}, &opens, 250*time.Millisecond, 15*time.Second)
 		for n := range members {
-			p.Place(driver.Member(n+1), placeOf(n))
+			p.Place(driver.Member(n+1), memberPlace(n))
 		}
 		return p, nil
 	}); err != nil {
@@ -215,11 +215,11 @@
 }
 
 func simulatedDriver(members int, view bool) (any, error) {
-	l, err := loop.On(sim.New(1, epoch).Host("d0"), 1<<15, 1<<20)
+	l, err := loop.On(sim.New(1, simulatedFrom).Host("d0"), 1<<15, 1<<20)
 	if err != nil {
 		return nil, err
 	}
-	return standing(l, netip.MustParseAddrPort("10.0.0.1:6543"), listText(members, 0, members, placeOf), view)
+	return standing(l, netip.MustParseAddrPort("10.0.0.1:6543"), listText(members, 0, members, memberPlace), view)
 }
 
 // sessionsState counts what the module holds of RPCs under way and of sessions that have written, and what an RPC allocates.
@@ -227,14 +227,14 @@
 	const sessions = 4000
 	groups := (members + perGroup - 1) / perGroup
 	q := module(members, perGroup, true)
-	before := heap()
+	before := heapBytes()
 	q.take(0, sessions, groups, order)
 	if len(q.sent) != sessions {
 		return fmt.Errorf("%d of %d RPCs are under way", len(q.sent), sessions)
 	}
-	point("rules_rpc", "bytes", (heap()-before)/sessions)
+	point("rules_rpc", "bytes", (heapBytes()-before)/sessions)
 	q.answer(primaryOf(perGroup))
-	point("rules_session", "bytes", (heap()-before)/sessions)
+	point("rules_session", "bytes", (heapBytes()-before)/sessions)
 	objects, bytes := allocations(q, groups)
 	point("rules_rpc_objects", "allocations", objects)
 	point("rules_rpc_allocated", "bytes", bytes)
@@ -264,13 +264,13 @@
 func listCost(members int, point func(measure, unit string, value float64)) error {
 	const times = 20
 	q := module(0, perGroup, false)
-	l, err := loop.On(sim.New(1, epoch).Host("d0"), 1<<10, 1<<20)
+	l, err := loop.On(sim.New(1, simulatedFrom).Host("d0"), 1<<10, 1<<20)
 	if err != nil {
 		return err
 	}
-	d := list.New(l, q, placeOf(0))
-	for what, text := range map[string][]byte{"whole": listText(members, 0, members, placeOf), "change": listText(members, 0, 1, placeOf), "nothing": listText(members, 0, 0, placeOf)} {
-		if err := d.Know(listText(members, 0, members, placeOf)); err != nil { // so that all are known
+	d := list.New(l, q, memberPlace(0))
+	for what, text := range map[string][]byte{"whole": listText(members, 0, members, memberPlace), "change": listText(members, 0, 1, memberPlace), "nothing": listText(members, 0, 0, memberPlace)} {
+		if err := d.Know(listText(members, 0, members, memberPlace)); err != nil { // so that all are known
 			return err
 		}
 		least := time.Duration(0)
@@ -297,19 +297,19 @@
 		return err
 	}
 	defer r.close()
-	empty := heap()
+	empty := heapBytes()
 	if err := r.connect(); err != nil {
 		return err
 	}
-	connected := heap()
+	connected := heapBytes()
 	if err := r.ask(); err != nil {
 		return err
 	}
-	under := heap()
+	under := heapBytes()
 	if err := r.answer(); err != nil {
 		return err
 	}
-	rested := heap()
+	rested := heapBytes()
 	runtime.KeepAlive(r)
 	per := float64(clients)
 	point("client", "bytes", (connected-empty)/per)
