Plays tell changes of primary by driver, know zones, share out dead drivers' clients

Need: docs/CAPACITY.md asks when each of 470 drivers first writes at a new primary, and what a driver carries once a zone is gone. Change: Result.Changes has for each change when the group had its new primary, each driver's first write there, since when a client's write had waited for it, and the attempts and connections of its first second. fleet { zones } spreads drivers and each group's members over zones and tells them so. route = "spread" gave all clients of a dead driver to the one after it, which then had twice its part (a whole zone in a row: all of it); they are shared out evenly now, as by a front, so a seventh that is gone leaves seven sixths at each other one.

--- a/internal/emu/ledger.go
+++ b/internal/emu/ledger.go
@@ -106,3 +106,11 @@
 	}
 	return sum
 }
+
+// Place gives all that was counted at one place in those seconds.
+func (l *Ledger) Place(what, where string, from, to int) (sum float64) {
+	for n := max(from, 0); n < min(to, len(l.seconds)); n++ {
+		sum += l.seconds[n][entry{what, where}]
+	}
+	return sum
+}
--- a/internal/emu/play/clients.go
+++ b/internal/emu/play/clients.go
@@ -32,8 +32,10 @@
 	Got      float64         // utility answered within the soft deadline, and what late answers bring
 	Flow     Flow
 	ledger   *emu.Ledger
+	writes   []try  // that have ended
 	home     []int  // the driver of each session
 	up       []bool // whom clients are dealt to, as far as who deals them out knows
+	alive    []int  // those
 }
 
 // wish is one RPC over all its tries.
@@ -65,6 +67,9 @@
 	again   bool // what it asks was asked before on one that ended
 }
 
+// late is how much longer than its time a client waits for an answer.
+const late = 20 * time.Millisecond
+
 // NewClients lets clients ask from now on.
 func NewClients(l *loop.Loop, s *Script, r *emu.Record, ledger *emu.Ledger, seed uint64, drivers []netip.AddrPort) *Clients {
 	c := &Clients{loop: l, script: s, record: r, chance: pcg.New(seed), drivers: drivers, idle: make([][]*line, len(drivers)),
@@ -74,7 +79,7 @@
 		c.home[n] = n % len(drivers)
 	}
 	for n := range c.up {
-		c.up[n] = true
+		c.mark(n, true)
 	}
 	for _, m := range s.Methods {
 		c.total += m.Share
@@ -115,15 +120,24 @@
 	c.loop.At(c.due, c.arrive) // a loop that wakes late catches up
 }
 
-// driverOf tells where a session's RPCs go now: to its own driver, or while that is known to be dead to the next.
+// driverOf tells where a session's RPCs go now: to its own driver. Those of one that is known to be dead are shared out evenly.
 func (c *Clients) driverOf(session int) int {
 	home := c.home[session]
-	for n := range c.up {
-		if at := (home + n) % len(c.up); c.up[at] {
-			return at
+	if c.up[home] || len(c.alive) == 0 {
+		return home
+	}
+	return c.alive[(home+session/len(c.up))%len(c.alive)]
+}
+
+// mark notes whether clients are dealt to a driver.
+func (c *Clients) mark(n int, up bool) {
+	c.up[n] = up
+	c.alive = c.alive[:0]
+	for d, is := range c.up {
+		if is {
+			c.alive = append(c.alive, d)
 		}
 	}
-	return home
 }
 
 // Died tells who deals clients out that a driver has died; they notice later. Then they ask whether it is back.
@@ -132,7 +146,7 @@
 		return
 	}
 	c.loop.At(c.loop.Now()+c.script.Notice, func() {
-		c.up[n] = false
+		c.mark(n, false)
 		c.knock(n)
 	})
 }
@@ -179,7 +193,7 @@
 		if k.clients.loop.Forget(k.due); err != nil {
 			k.Closed(err)
 		} else {
-			k.clients.up[k.driver] = true
+			k.clients.mark(k.driver, true)
 		}
 		return 0
 	}
@@ -242,7 +256,7 @@
 	}
 	c.record.Asked(l.id, w.token, fmt.Sprint("d", l.to), m.Effect, now, now+m.Limit)
 	l.text = append(append(pgwire.AppendHead(nil, 'Q', len(text)+1), text...), 0)
-	l.send(now + m.Limit + 20*time.Millisecond)
+	l.send(now + m.Limit + late)
 }
 
 func (l *line) send(until time.Duration) {
@@ -283,6 +297,7 @@
 	c.loop.Forget(l.due)
 	now := c.loop.Now()
 	c.record.Heard(l.id, answer, now)
+	l.tried(w)
 	if answer == emu.OK {
 		c.Served++
 		c.Took = append(c.Took, now-w.began)
--- a/internal/emu/play/cluster.go
+++ b/internal/emu/play/cluster.go
@@ -39,6 +39,7 @@
 	ledger  *emu.Ledger
 	began   time.Duration
 	Course  Course
+	changes []*Change
 
 	// Address tells where a driver reaches a member; nil: where it listens.
 	Address func(driver, member int) netip.AddrPort
@@ -80,6 +81,7 @@
 				c.note(fmt.Sprint("group ", g), "has no primary")
 			} else {
 				c.note(primary.Name, "is primary of group %d", g)
+				c.changed(g, primary)
 			}
 		}
 		c.groups = append(c.groups, group)
@@ -112,6 +114,9 @@
 		k.place.Value = k
 		m.conns.Push(&k.place)
 		m.count(emu.Connects, 1)
+		if change := m.changeTo(); change != nil && m.cluster.at() < change.At+early {
+			change.Connects++
+		}
 		m.cluster.ledger.Most(emu.OpenMost, m.model.Name, m.cluster.loop.Now(), float64(m.conns.Count()))
 	}, func(bool) {})
 	return err
@@ -296,6 +301,9 @@
 	}
 	c.record.Arrived(id, m.model.Name, now)
 	m.count(emu.Attempts, 1)
+	if change := m.changeTo(); change != nil && c.at() < change.At+early {
+		change.Attempts++
+	}
 	switch isPrimary := m.model.Role() == driver.Primary; {
 	case m.model.Drains():
 		m.count(emu.Drained, 1)
@@ -322,6 +330,9 @@
 			stale = fmt.Sprintf("lacks the last %v", (job.After - r.Truth).Round(time.Millisecond))
 		}
 		c.record.Ran(id, r.Effect, stale)
+		if job.Write {
+			k.member.wrote(c.record.DriverOf(id))
+		}
 	}
 	if k.job != job {
 		return
@@ -482,14 +493,14 @@
 		Size     float64 `json:"capacity_hint"`
 		Booted   int64   `json:"boot_ms"`
 	}
-	targets := []target{}
+	targets, zones := []target{}, c.script.zoneNames()
 	for _, m := range c.members {
 		if from == 0 || m.listed > from {
 			at := m.at
 			if c.Address != nil {
 				at = c.Address(driver, m.number)
 			}
-			targets = append(targets, target{m.model.Name, at.String(), "a", m.group, m.state, 1, int64(m.bootedAt / time.Millisecond)})
+			targets = append(targets, target{m.model.Name, at.String(), zones[c.script.MemberZone(m.number)], m.group, m.state, 1, int64(m.bootedAt / time.Millisecond)})
 		}
 	}
 	body, _ := json.Marshal(map[string]any{"rev": c.rev, "all": from == 0, "targets": targets})
--- a/internal/emu/play/network.go
+++ b/internal/emu/play/network.go
@@ -30,6 +30,18 @@
 func Driver(n int) string { return "d" + strconv.Itoa(n) }
 func Member(n int) string { return "m" + strconv.Itoa(n) }
 
+// DriverZone and MemberZone number zones by what is in them. First primaries are spread over them too.
+func (s *Script) DriverZone(n int) int { return n % s.Zones }
+func (s *Script) MemberZone(n int) int { return (n + n/s.Members) % s.Zones }
+
+// zoneNames are those of all zones.
+func (s *Script) zoneNames() (names []string) {
+	for z := range s.Zones {
+		names = append(names, string(rune('a'+z)))
+	}
+	return names
+}
+
 // Roads are all ways that a fleet of the script has.
 func (s *Script) Roads() (roads []Road) {
 	for d := range s.Drivers {
--- a/internal/emu/play/rehearse.go
+++ b/internal/emu/play/rehearse.go
@@ -209,7 +209,7 @@
 func (s *Script) Terms(number int) map[string]string {
 	micros := func(d time.Duration) string { return strconv.FormatInt(int64(d/time.Microsecond), 10) }
 	t := map[string]string{
-		"zones": "a", "zone": "0", "drivers": strconv.Itoa(s.Drivers), "driver": strconv.Itoa(number), "tick": "5000", "list": "pushed", "caps.cancel": "true",
+		"zones": strings.Join(s.zoneNames(), ","), "zone": strconv.Itoa(s.DriverZone(number)), "drivers": strconv.Itoa(s.Drivers), "driver": strconv.Itoa(number), "tick": "5000", "list": "pushed", "caps.cancel": "true",
 		"caps.connect_timeout": "250000", "caps.idle_close": "15000000", "caps.longest_wait": "1000000", "caps.attempts": "8",
 		"family_info.checks": "wait", "family_info.token": "carried", "report.columns": "x0,x1,util", "methods.count": strconv.Itoa(len(s.Methods)),
 		"rules.cold_lasts": micros(s.Build.Warm), "rules.cold_share": "0.25", "rules.cold_multiple": "4", "rules.cold_window": "1000000",
--- a/internal/emu/play/result.go
+++ b/internal/emu/play/result.go
@@ -26,6 +26,7 @@
 	Flow    Flow
 	Falls   []Fall
 	Course  Course
+	Changes []Change     // of primaries
 	Witness *Witness     // nil: nobody acts by leases
 	Views   []ViewSample // what drivers that are processes told of their views, in the order in which it came
 }
@@ -110,7 +111,7 @@
 	slices.Sort(c.Took)
 	r := c.record
 	result := &Result{Took: c.Took, Script: s, Seed: seed, Asked: c.Asked, Served: c.Served, Utility: c.Got / max(c.Worth, 1e-9),
-		Answers: r.Counts(), Broken: r.Broken(end), Digest: r.Digest(), Ledger: cluster.ledger, Flow: c.Flow, Falls: falls.all, Course: cluster.Course, Witness: witness}
+		Answers: r.Counts(), Broken: r.Broken(end), Digest: r.Digest(), Ledger: cluster.ledger, Flow: c.Flow, Falls: falls.all, Course: cluster.Course, Changes: c.Changes(cluster), Witness: witness}
 	if witness != nil {
 		result.Broken = append(result.Broken, witness.Broken()...)
 	}
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -53,6 +53,7 @@
 	Lasts           time.Duration
 	Drivers         int
 	Groups, Members int // members of each group
+	Zones           int // over which drivers and each group's members are spread
 	Build           emu.Build
 	Election        emu.Election
 	ListDelay       time.Duration
@@ -119,6 +120,7 @@
 		Drivers   int    `hcl:"drivers"`
 		Groups    int    `hcl:"groups,optional"`
 		Members   int    `hcl:"members"`
+		Zones     int    `hcl:"zones,optional"`
 		Cores     int    `hcl:"cores,optional"`
 		Queue     int    `hcl:"queue,optional"`
 		Warm      string `hcl:"warm,optional"`
@@ -313,7 +315,7 @@
 	f := &t.Fleet
 	s := &Script{
 		Lasts: span("lasts", t.Lasts, 0), Drivers: count("fleet drivers", f.Drivers, 1, 500), Groups: count("fleet groups", f.Groups, 1, 100),
-		Members: count("fleet members", f.Members, 1, 50), ListDelay: span("fleet list_delay", f.ListDelay, time.Second), Grace: 250 * time.Millisecond,
+		Members: count("fleet members", f.Members, 1, 50), Zones: count("fleet zones", f.Zones, 1, 26), ListDelay: span("fleet list_delay", f.ListDelay, time.Second), Grace: 250 * time.Millisecond,
 		Build: emu.Build{Cores: count("fleet cores", f.Cores, 4, 256), Queue: count("fleet queue", f.Queue, 64, 10000), Cold: 0.25,
 			Warm: span("fleet warm", f.Warm, 16*time.Second), Multiple: 4, Tips: time.Second, Patience: 50 * time.Millisecond,
 			Handshake: span("fleet handshake", f.Handshake, 0), Connections: f.Conns,
