Capacity: in plays of failures every driver meets every group

Cause: a play's session gives driver and group by its number alone, so with 30 drivers and 18 groups each driver met 3 groups (7 at 60 : 35 and 120 : 70); with two regions at 30 and 120 each met only groups whose first primary was in its own region. Change: the number of groups is raised until it has no common divisor with that of drivers (19, 37, 71; 9 at the test's 14, before 8).

--- a/internal/lab/capacity/failures.go
+++ b/internal/lab/capacity/failures.go
@@ -91,9 +91,20 @@
 	return drivers, members
 }
 
+// common is the greatest common divisor.
+func common(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // failureScript is the play of a failure with so many drivers, and members in proportion to the fleet's.
 func failureScript(f *failure, drivers int) (*play.Script, error) {
 	groups := max(int(float64(drivers)*fleetMembers/fleetDrivers/groupMembers+0.5), rackMembers)
+	for common(drivers, groups) > 1 { // a session's number gives its driver and its group: with a common part each driver would meet some groups only
+		groups++
+	}
 	s, err := playOf("failure-"+f.name, drivers, groups, failureStatements*float64(drivers))
 	if err != nil {
 		return nil, err
