--- a/internal/lab/capacity/driver_test.go
+++ b/internal/lab/capacity/driver_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// counted gives the measures of what is counted at one size.
+// measured gives the measures of what is counted at one size.
 func measured(t *testing.T, count func(size int, point func(measure, unit string, value float64)) error, size int) map[string]float64 {
 	t.Helper()
 	slog.SetDefault(slog.New(slog.DiscardHandler))
