Of many arrivals those close together become one, so none is told much too early

Seen: TestTimesOfManyPieces reached 47 RPCs of 50 at least in the whole run of the tests, 74 when it was written; made to reach 250 and more of its 300, it showed RPCs given up to 150 ms less than they had. Cause: each time 64 arrivals were noted all neighbours were joined, the oldest again and again. Change: arrivals no more than a grain apart are one, with the earliest time; the grain doubles while there are more than 64. The test now wants 250 of 300 RPCs reached and no more than 80 ms lost; TestNoInputIsSaidToHaveComeLater bounds how early an arrival may be told with 400 pieces too.

--- a/internal/loop/sim/came_test.go
+++ b/internal/loop/sim/came_test.go
@@ -20,8 +20,8 @@
 	return n
 }
 
-// However input comes in, rests and is taken, no byte is said to have come later than it did; and where few pieces wait
-// and reading never rested, none is said to have come before it was sent.
+// However input comes in, rests and is taken, no byte is said to have come later than it did; and where reading never rested, none is said
+// to have come long before it was sent.
 func TestNoInputIsSaidToHaveComeLater(t *testing.T) {
 	for name, c := range map[string]struct{ pieces, longest, bears int }{
 		"few pieces":               {40, 200, 1 << 20},
@@ -29,6 +29,10 @@
 		"until the buffer is full": {200, 250, 300},
 	} {
 		t.Run(name, func(t *testing.T) {
+			early := time.Millisecond // of 400 pieces some 2.2 s long: no more than a part in 32, and the kernel's grain
+			if c.pieces > 64 {
+				early += 70 * time.Millisecond
+			}
 			for seed := range uint64(20) {
 				chance := pcg.New(seed)
 				w := New(seed, start)
@@ -74,7 +78,7 @@
 									if came > was+2*time.Millisecond {
 										t.Fatalf("seed %d: byte %d came %v after it was sent", seed, taken+n, came-was)
 									}
-									if c.pieces < 64 && !rested && came < was-time.Millisecond {
+									if !rested && came < was-early {
 										t.Fatalf("seed %d: byte %d came %v before it was sent", seed, taken+n, was-came)
 									}
 								}
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -62,6 +62,7 @@
 
 	came     int64         // bytes of input, of all that ever came
 	arrivals []arrival     // of what was not taken, in order
+	grain    time.Duration // by how much too early an arrival may be told, as there were many
 	behind   time.Duration // since when input has waited in the kernel, as reading rested; 0: it does not
 }
 
@@ -71,7 +72,7 @@
 	at   time.Duration
 }
 
-const mostArrivals = 64 // of one stream; where it gets more, two are one and count from the earlier
+const mostArrivals = 64 // of one stream; where it gets more, those close to each other are one and count from the earliest
 
 func (l *Loop) stream(fd int, owner Owner, most int, opening bool) (*Stream, error) {
 	s := &Stream{loop: l, fd: fd, owner: owner, most: most, opening: opening}
@@ -245,17 +246,24 @@
 			s.behind = 0
 		}
 	}
-	if last := len(s.arrivals) - 1; last >= 0 && at <= s.arrivals[last].at {
-		s.arrivals[last].upTo = s.came
-		return
+	s.arrivals = joined(append(s.arrivals, arrival{s.came, at}), s.grain)
+	for len(s.arrivals) > mostArrivals {
+		s.grain = max(2*s.grain, time.Millisecond)
+		s.arrivals = joined(s.arrivals, s.grain)
 	}
-	if len(s.arrivals) == mostArrivals {
-		for i := range mostArrivals / 2 {
-			s.arrivals[i] = arrival{s.arrivals[2*i+1].upTo, s.arrivals[2*i].at}
+}
+
+// joined makes one of arrivals that are no more than grain apart, in place; it has the earliest of their times.
+func joined(all []arrival, grain time.Duration) []arrival {
+	kept := all[:1]
+	for _, a := range all[1:] {
+		if last := &kept[len(kept)-1]; a.at <= last.at+grain {
+			last.upTo = a.upTo
+		} else {
+			kept = append(kept, a)
 		}
-		s.arrivals = s.arrivals[:mostArrivals/2]
 	}
-	s.arrivals = append(s.arrivals, arrival{s.came, at})
+	return kept
 }
 
 // fallBehind notes that reading rests: what comes from now on may have come at any time since.
@@ -352,6 +360,7 @@
 		s.weigh(common - cap(s.buffer))
 	}
 	s.buffer, s.taken = nil, 0
+	s.grain = 0
 	if s.arrivals = s.arrivals[:0]; cap(s.arrivals) > 4 {
 		s.arrivals = nil
 	}
--- a/internal/node/pipeline_test.go
+++ b/internal/node/pipeline_test.go
@@ -91,16 +91,16 @@
 // reading rests).
 func TestTimesOfManyPieces(t *testing.T) {
 	s := newScene(t, nil, 256)
-	left := s.heads(900 * ms)
+	left := s.heads(350 * ms)
 	s.ask(100*ms, timed("head", "order", 1900))
 	came := make(map[string]time.Duration)
 	for i := range 300 {
-		id, after := fmt.Sprint("p", i), 102*ms+time.Duration(i)*2*ms
+		id, after := fmt.Sprint("p", i), 102*ms+time.Duration(i)*ms
 		s.send(after, asQuery(timed(id, "look", 2400)))
 		came[id] = after
 	}
 	s.world.Run(epoch + 4*time.Second)
-	if len(s.sent) < 50 {
+	if len(s.sent) < 250 {
 		t.Errorf("only %d RPCs reached a member", len(s.sent))
 	}
 	for id, after := range came {
