--- a/rules/host_test.go
+++ b/rules/host_test.go
@@ -82,6 +82,21 @@
 	w := &world{t: t, least: 1000, now: time.Second, chance: pcg.New(seed ^ 0x9e3779b97f4a7c15), checks: checks != "none",
 		nodes: map[driver.Member]*node{}, rpcs: map[driver.RPC]*ask{},
 		pushed: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}}
+	settings := settingsOf(checks, more...)
+	w.mixed = settings["mixed"] == "true"
+	w.lax = settings["rules.only_draining_binds"] == "true"
+	w.r = New(w, seed, settings)
+	for i := range 8 {
+		w.add(driver.Member(100+i), driver.LongAgo)
+	}
+	w.primary = [2]driver.Member{100, 101}
+	w.nodes[100].wasPrimary, w.nodes[101].wasPrimary = true, true
+	w.list(driver.Cached)
+	return w
+}
+
+// settingsOf are those of a world, in which some lines stand over the usual ones.
+func settingsOf(checks string, more ...string) map[string]string {
 	settings := map[string]string{
 		"family_info.checks": checks, "family_info.token": "carried", "caps.cancel": "true", "caps.probe": "true",
 		"caps.attempts": "8", "caps.longest_wait": "1000000", "rules.cold_window": "1000000", "drivers": "1",
@@ -102,16 +117,7 @@
 		name, value, _ := strings.Cut(line, "=")
 		settings[name] = value
 	}
-	w.mixed = settings["mixed"] == "true"
-	w.lax = settings["rules.only_draining_binds"] == "true"
-	w.r = New(w, seed, settings)
-	for i := range 8 {
-		w.add(driver.Member(100+i), driver.LongAgo)
-	}
-	w.primary = [2]driver.Member{100, 101}
-	w.nodes[100].wasPrimary, w.nodes[101].wasPrimary = true, true
-	w.list(driver.Cached)
-	return w
+	return settings
 }
 
 func (w *world) add(m driver.Member, started time.Duration) {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -159,30 +159,13 @@
 
 func New(host driver.Host, seed uint64, settings map[string]string) *Router {
 	r := &Router{
-		host: host, chance: pcg.New(seed), terms: terms.New(settings), probes: probeCredit, pace: 1,
+		host: host, chance: pcg.New(seed), probes: probeCredit, pace: 1,
 		groups: make(map[driver.Group]*group), members: make(map[driver.Member]*member),
 		rpcs: make(map[driver.RPC]*rpc), tokens: make(map[driver.Session]time.Duration),
 		columns: strings.Split(settings["report.columns"], ","),
-		checks:  settings["family_info.checks"] != "none", lax: settings["rules.only_draining_binds"] == "true",
 	}
+	r.Change(settings)
 	r.zone, r.tick = driver.Zone(r.terms.Number("zone", 0)), max(r.terms.Span("tick"), 5*time.Millisecond)
-	for i := range int(r.terms.Number("methods.count", 0)) {
-		at := "methods." + strconv.Itoa(i) + "."
-		m := &method{
-			utility: r.terms.Number(at+"utility", 1), late: r.terms.Number(at+"late_utility", 0),
-			idempotent: settings[at+"effect"] == "idempotent", tokened: settings[at+"effect"] == "tokened",
-			everywhere: settings[at+"repeats"] == "all", zoned: settings[at+"repeats"] == "zone",
-			window: r.terms.Span(at + "window"), soft: r.terms.Span(at + "soft_deadline"),
-			limit: r.terms.Span(at + "limit"),
-		}
-		m.need, m.usual = r.terms.Item("family_info.needs", i), m.soft/4
-		m.bound, _ = time.ParseDuration(r.terms.Item("family_info.bounds", i) + "us")
-		r.methods = append(r.methods, m)
-	}
-	for i := range int(r.terms.Number("tenants.count", 0)) {
-		quota := r.terms.Number("tenants."+strconv.Itoa(i)+".quota", 0) / r.terms.Number("drivers", 1)
-		r.quota, r.room = append(r.quota, quota), append(r.room, quota)
-	}
 	if err := r.terms.Unusable(); err != nil {
 		host.Fault(err.Error())
 	}
@@ -194,6 +177,32 @@
 	return r
 }
 
+// Change takes over other settings, but for what only a restart changes: the driver's zone, its tick, columns
+// and how it hears lists. Methods keep their number, and RPCs under way the method that they began with.
+func (r *Router) Change(settings map[string]string) {
+	r.checks, r.lax = settings["family_info.checks"] != "none", settings["rules.only_draining_binds"] == "true"
+	before, t := r.methods, terms.New(settings)
+	r.terms, r.methods, r.quota, r.room = t, nil, nil, nil
+	for i := range int(t.Number("methods.count", 0)) {
+		at := "methods." + strconv.Itoa(i) + "."
+		m := &method{usual: t.Span(at+"soft_deadline") / 4}
+		if i < len(before) {
+			*m = *before[i] // with what was learned
+		}
+		m.utility, m.late = t.Number(at+"utility", 1), t.Number(at+"late_utility", 0)
+		m.idempotent, m.tokened = settings[at+"effect"] == "idempotent", settings[at+"effect"] == "tokened"
+		m.everywhere, m.zoned = settings[at+"repeats"] == "all", settings[at+"repeats"] == "zone"
+		m.window, m.soft, m.limit = t.Span(at+"window"), t.Span(at+"soft_deadline"), t.Span(at+"limit")
+		m.need = t.Item("family_info.needs", i)
+		m.bound, _ = time.ParseDuration(t.Item("family_info.bounds", i) + "us")
+		r.methods = append(r.methods, m)
+	}
+	for i := range int(t.Number("tenants.count", 0)) {
+		quota := t.Number("tenants."+strconv.Itoa(i)+".quota", 0) / t.Number("drivers", 1)
+		r.quota, r.room = append(r.quota, quota), append(r.room, quota)
+	}
+}
+
 // Take is the ordinary path's start: a client's RPC, which came whole a while ago, gets one final answer.
 func (r *Router) Take(id driver.RPC, meth driver.Method, in driver.Group, whose driver.Tenant,
 	who driver.Session, came, until, wrote time.Duration, repeat bool) {
