Rollout: control machines that agree on versions of the configuration

internal/rollout decides without I/O: a register of one value on three machines, written under ballots that are the numbers of a lease; a new writer takes over the newest that a majority has accepted before it writes; publications name the version that they were made from and have a number, so that of two at once one succeeds and none is written twice; a machine with an empty folder learns from all others before it votes; drivers tell what they have, and where that is above all that machines know, what counts is written anew above it. internal/rollout/server ties it to a lease, HTTP and a folder, internal/rollout/client is a driver's watch.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	"passtack/internal/httpwire"
 	"passtack/internal/lease"
 	"passtack/internal/odata"
+	"passtack/internal/rollout/server"
 	"passtack/internal/share"
 )
 
@@ -116,6 +117,19 @@
 	Forms   map[driver.Group]driver.Form
 	Root    string // under which members that speak OData serve
 	Host    string // that they are asked for, "": their address
+
+	Configuration *Configuration // nil: no control machine is asked
+	Machine       *server.Place  // nil: the file is no control machine's
+
+	again func(methods []Method) (*File, error)
+}
+
+// Again reads the same text against other methods.
+func (f *File) Again(methods []Method) (*File, error) {
+	if f.again == nil {
+		return f, nil
+	}
+	return f.again(methods)
 }
 
 // Mistakes are all that is wrong with a file, one a line.
@@ -149,6 +163,7 @@
 	if len(r.mistakes) > 0 {
 		return nil, r.mistakes
 	}
+	f.again = func(methods []Method) (*File, error) { return Parse(text, name, listen, methods) }
 	return f, nil
 }
 
@@ -261,6 +276,7 @@
 	f := &File{Forms: make(map[driver.Group]driver.Form), Root: "/"}
 	c := r.content(body, nil, hcl.BlockHeaderSchema{Type: "log"}, hcl.BlockHeaderSchema{Type: "state"},
 		hcl.BlockHeaderSchema{Type: "control"}, hcl.BlockHeaderSchema{Type: "leases"}, hcl.BlockHeaderSchema{Type: "view"},
+		hcl.BlockHeaderSchema{Type: "configuration"}, hcl.BlockHeaderSchema{Type: "control_machine", LabelNames: []string{"name"}},
 		hcl.BlockHeaderSchema{Type: "front", LabelNames: []string{"protocol", "name"}},
 		hcl.BlockHeaderSchema{Type: "members", LabelNames: []string{"protocol"}})
 	if c == nil {
@@ -302,6 +318,14 @@
 	for _, b := range blocks["view"] {
 		r.view(f, b)
 	}
+	r.once(blocks["configuration"])
+	for _, b := range blocks["configuration"] {
+		r.configuration(f, b)
+	}
+	r.once(blocks["control_machine"])
+	for _, b := range blocks["control_machine"] {
+		r.machine(f, b)
+	}
 	for _, b := range blocks["members"] {
 		r.members(f, b)
 	}
