Drivers have their configuration from control machines; passtack control and config

A driver with a block configuration watches one of three machines (rendezvous hashing; calls of 0.8 s; another machine when one fails or is not sure), checks a newer version whole on a worker, keeps it in its folder and takes it over between two turns; one that it cannot take is refused with one line, which the machines and passtack config status tell. Methods, costs, shares, limits, caps and cold budgets hold at once or for what begins later. Nothing is asked where the operator's file names no machines, as in run. Tests in simulated time: methods replaced under RPCs, refusals by the operator's file, restarts with and without a folder, a kept version that cannot be used.

--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -188,10 +188,16 @@
 			Export stateExport `cmd:"" help:"Write members or sessions of a folder as CSV."`
 			Prune  statePrune  `cmd:"" help:"Take out of a folder what is old, while no driver holds it."`
 		} `cmd:"" help:"Look at the folder where a driver keeps what it has learned."`
-		Status  status     `cmd:"" help:"Ask a running driver how it is and what its background work does."`
-		Fleet   fleetViews `cmd:"" help:"Ask running drivers how they see their fleet, and where their views differ."`
-		Leases  leases     `cmd:"" help:"Ask running drivers who holds which lease, and why nobody does."`
-		Version version    `cmd:"" help:"Print what this program was built from."`
+		Status  status         `cmd:"" help:"Ask a running driver how it is and what its background work does."`
+		Fleet   fleetViews     `cmd:"" help:"Ask running drivers how they see their fleet, and where their views differ."`
+		Control controlMachine `cmd:"" help:"Be one of the machines that keep what is published for a fleet."`
+		Config  struct {
+			Publish configPublish `cmd:"" help:"Make a configuration the next version, and wait until drivers have it in force."`
+			Status  configStatus  `cmd:"" help:"Tell where the newest version is in force, who lags and who refuses it."`
+			Show    configShow    `cmd:"" help:"Print the newest version."`
+		} `cmd:"" help:"Publish configurations for a whole fleet, and see where they are in force."`
+		Leases  leases  `cmd:"" help:"Ask running drivers who holds which lease, and why nobody does."`
+		Version version `cmd:"" help:"Print what this program was built from."`
 	}
 	c := kong.Parse(&command, kong.Name("passtack"), kong.Description("A read/write splitter for database clusters."))
 	if err := c.Run(); err != nil {
--- a/internal/comeback/opens.go
+++ b/internal/comeback/opens.go
@@ -32,7 +32,14 @@
 
 // NewOpens makes the window of a driver that has just started, whose connections must be up within that time.
 func NewOpens(limit time.Duration) Opens {
-	return Opens{window: firstOpens, slow: max(time.Duration(slowPart*float64(limit)), time.Millisecond)}
+	o := Opens{window: firstOpens}
+	o.Within(limit)
+	return o
+}
+
+// Within changes the time in which connections must be up.
+func (o *Opens) Within(limit time.Duration) {
+	o.slow = max(time.Duration(slowPart*float64(limit)), time.Millisecond)
 }
 
 // Limit bounds the connections at one member, coming up and let in. What is open beyond that is over it.
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -62,6 +62,9 @@
 	f.memory.Most, f.memory.Open = offer.Repeats.Bytes, offer.Repeats.Open
 }
 
+// Methods changes the names of methods, by number. What is under way keeps its numbers.
+func (f *Front) Methods(names []string) { f.methods = names }
+
 // Repeats gives what it remembers of repeatable requests.
 func (f *Front) Repeats() *repeat.Memory { return f.memory }
 
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -48,14 +48,8 @@
 // Listen starts to take clients in. The methods are named in their order.
 func Listen(l *loop.Loop, clerk driver.Clerk, at netip.AddrPort, door loop.Door, open front.Ids, methods []string,
 	sessions, tokened []bool, seed uint64) (*Front, error) {
-	f := &Front{
-		secrets: pcg.New(seed), loop: l, clerk: clerk, open: open, methods: make(map[string]driver.Method),
-		sessions: make(map[driver.Method]bool), tokened: make(map[driver.Method]bool),
-	}
-	for i, name := range methods {
-		number := driver.Method(i)
-		f.methods[name], f.sessions[number], f.tokened[number] = number, sessions[i], tokened[i]
-	}
+	f := &Front{secrets: pcg.New(seed), loop: l, clerk: clerk, open: open}
+	f.Methods(methods, sessions, tokened)
 	var err error
 	f.room, err = front.Listen(l, at, pgwire.Most+1, door, clerk.Count, func(s *front.Seat) front.Guest {
 		return &client{Seat: s, front: f, secret: f.secrets.Uint32()}
@@ -63,6 +57,16 @@
 	return f, err
 }
 
+// Methods changes which methods may be asked for, by number; one without a name may not.
+func (f *Front) Methods(names []string, sessions, tokened []bool) {
+	f.methods, f.sessions, f.tokened = make(map[string]driver.Method), make(map[driver.Method]bool), make(map[driver.Method]bool)
+	for i, name := range names {
+		if number := driver.Method(i); name != "" {
+			f.methods[name], f.sessions[number], f.tokened[number] = number, sessions[i], tokened[i]
+		}
+	}
+}
+
 // Asking tells that an RPC is served.
 func (c *client) Asking() bool { return c.serving }
 
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -172,6 +172,11 @@
 	}
 }
 
+// Within changes what New was told of times, for connections that are opened or rest from now on.
+func (p *Pool) Within(connectIn, idleFor time.Duration) {
+	p.connectIn, p.idleFor = connectIn, idleFor-idleFor/8
+}
+
 // Place tells where a member listens. Connections to an earlier address are not used again.
 func (p *Pool) Place(id driver.Member, at netip.AddrPort) {
 	m := p.members[id]
--- a/internal/node/chores.go
+++ b/internal/node/chores.go
@@ -46,6 +46,8 @@
 	Ready    float64
 	Counters map[string]int
 	Chores   []ChoreStatus
+
+	Configuration *ConfigurationStatus // nil: no control machine is asked
 }
 
 // ChoreStatus is one chore.
@@ -59,7 +61,7 @@
 
 func (n *Node) status() Status {
 	now := n.loop.Now()
-	s := Status{Name: n.site.Name, Comeback: n.back.Stage().String(), Ready: n.back.Ready(), Counters: n.counts}
+	s := Status{Name: n.site.Name, Comeback: n.back.Stage().String(), Ready: n.back.Ready(), Counters: n.counts, Configuration: n.configuration.status()}
 	if n.background.plan == nil {
 		return s
 	}
@@ -162,10 +164,10 @@
 
 // work lets goroutines of their own do what would block the loop. They ring it when they are done.
 func (n *Node) work() (end func()) {
-	if n.background.plan == nil && n.leases == nil {
+	if n.background.plan == nil && n.leases == nil && n.configuration == nil {
 		return func() {}
 	}
-	const hands = workers + 1 // one more for promises, so that the loop never waits for a place
+	const hands = workers + 2 // one more for promises and one for configurations, so that the loop never waits for a place
 	jobs, over := make(chan job, hands), make(chan struct{}, hands)
 	n.background.jobs, n.background.done = jobs, make(chan func(), hands)
 	for range hands {
--- /dev/null
+++ b/internal/node/configuration_test.go
@@ -0,0 +1,292 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"passtack/internal/keep"
+	"passtack/internal/loop/sim"
+	"passtack/internal/pcg"
+	"passtack/internal/pgwire"
+	"passtack/internal/rollout"
+	"passtack/internal/rollout/server"
+	"passtack/internal/state"
+	"passtack/internal/terms"
+)
+
+// controls are three control machines in a play's world.
+type controls struct {
+	play    *play
+	servers []*server.Server
+	hosts   []*sim.Host
+	number  uint64
+}
+
+type simDisk struct {
+	world *sim.World
+	host  *sim.Host
+}
+
+func (d simDisk) Keep(_ server.Kept, then func(error)) {
+	d.world.At(d.world.Now()+2*time.Millisecond, func() { d.host.Do(func() { then(nil) }) })
+}
+
+func controlAt(n int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("10.0.8.%d:7400", n+1))
+}
+
+func (p *play) controls() *controls {
+	c := &controls{play: p}
+	for n := range 3 {
+		h := p.world.Host(fmt.Sprint("control", n))
+		place := server.Place{Fleet: "shop", Name: h.Name, Listen: controlAt(n)}
+		for o := range 3 {
+			if o != n {
+				place.Peers = append(place.Peers, server.Peer{Name: fmt.Sprint("control", o), At: controlAt(o)})
+			}
+		}
+		s, err := server.New(p.loopOn(h), place, simDisk{p.world, h}, server.Kept{}, uint64(n+1))
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		c.servers, c.hosts = append(c.servers, s), append(c.hosts, h)
+	}
+	return c
+}
+
+// publish makes a text the next version and lets a second pass.
+func (c *controls) publish(text string) uint64 {
+	c.number++
+	for n, s := range c.servers {
+		if s.Register().Writes() {
+			id := c.number
+			c.hosts[n].Do(func() {
+				s.Register().Publish(rollout.Publish{Ticket: id, ID: id, Base: s.Register().Newest().Version, Text: text})
+			})
+			c.play.run(time.Second)
+			return s.Register().Newest().Version
+		}
+	}
+	c.play.t.Fatal("nobody writes")
+	return 0
+}
+
+func (p *play) run(lasts time.Duration) { p.world.Run(p.world.Now() + lasts) }
+
+func wantsControls(folder string) string {
+	text := fmt.Sprintf("configuration {\n  fleet = \"shop\"\n  machines = [%q, %q, %q]\n", controlAt(0), controlAt(1), controlAt(2))
+	if folder != "" {
+		text += fmt.Sprintf("  folder = %q\n", folder)
+	}
+	return text + "}\n"
+}
+
+// configured is a driver that asks control machines, and three members.
+func configured(t *testing.T, folder, more string) (*play, *controls, func() *Node) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	p := &play{t: t, world: sim.New(5, epoch), chance: pcg.New(5), answers: make(map[string]string), ran: make(map[string]int)}
+	for i := range 3 {
+		p.member(i, map[bool]string{true: "leader", false: "follower"}[i == 0])
+	}
+	c := p.controls()
+	d := &simDriver{host: p.world.Host("d0"), at: netip.MustParseAddrPort("10.0.0.1:6543")}
+	p.drivers = append(p.drivers, d)
+	var targets []string
+	for j, m := range p.members {
+		targets = append(targets, fmt.Sprintf(`{"uid":"s-%d","endpoint":"%s","az":"a","pod_group":0,"state":"in_service","capacity_hint":1,"boot_ms":0}`, j, m.at))
+	}
+	start := func() *Node {
+		if d.node != nil {
+			d.host.Kill()
+			d.node.LetGo()
+			d.host.Start()
+		}
+		site := &Site{Name: "d0", Listen: d.at, Discovery: netip.MustParseAddrPort("10.0.9.1:8500"), Seed: p.chance2(), Descriptors: 256, Memory: 64 << 20,
+			Known: []byte(listOf(1, true, targets...)), Terms: terms.Nested(simSettings(t))}
+		wants, err := site.Parse([]byte(wantsControls(folder)+more), "d0.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d.node, err = On(p.loopOn(d.host), site, wants); err != nil {
+			t.Fatal(err)
+		}
+		return d.node
+	}
+	start()
+	p.run(4 * time.Second)
+	return p, c, start
+}
+
+// say asks one RPC on a connection of its own, and gives what is heard of it.
+func (p *play) say(method string, wait int) (heard func() string) {
+	p.sent++
+	c := &simClient{play: p, loop: p.loopOn(p.world.Host(fmt.Sprint("say", p.sent))), to: p.drivers[0].at, name: "say", until: p.world.Now()}
+	c.id = fmt.Sprintf("say-%d", p.sent)
+	c.loop.Later(func() {
+		var err error
+		if c.stream, err = c.loop.Dial(c.to, c, 1<<20); err != nil {
+			p.t.Error(err)
+			return
+		}
+		text := statement(c.id, method, wait, 0)
+		if method == "look" {
+			text = strings.Replace(text, "INSERT INTO items (id, doc) VALUES ('", "SELECT doc FROM items WHERE id = ('", 1)
+		}
+		c.stream.Send(pgwire.AppendFirst(nil, "app", "shop"), asQuery(text))
+	})
+	return func() string { return p.answers[c.id] }
+}
+
+const renamed = `{"settings":{"classes":[
+ {"name":"buy","effect":"unsafe","points":9,"target_us":500000,"hard_limit_us":900000},
+ {"name":"look","effect":"safe","points":2,"target_us":300000,"hard_limit_us":700000}],
+ "family_info":{"class_read":["update","loose"]},"caps":{"most_tries":3,"max_retry_after_us":7000}},"limits":{"sockets":300}}`
+
+// A version comes into force as a whole: methods, caps and limits; methods that there are no more are not taken any more, what is under way
+// of them is answered, and new ones are served.
+func TestAPublishedVersionComesIntoForce(t *testing.T) {
+	p, c, _ := configured(t, "", "")
+	n := p.drivers[0].node
+	if got := n.Configuration(); got.Version != 0 || n.configuration.status().SilentMS > 2000 {
+		t.Fatalf("%+v, %+v", got, n.configuration.status())
+	}
+	for _, m := range p.members {
+		m.work = 500 * time.Millisecond
+	}
+	before := p.say("pay", 1500)
+	p.run(100 * time.Millisecond)
+	if v := c.publish(renamed); v != 1 || n.Configuration().Version != 1 {
+		t.Fatalf("version %d is published, %+v in force", v, n.Configuration())
+	}
+	if before() != "ok" {
+		t.Errorf("what was under way hears %q", before())
+	}
+	for _, m := range p.members {
+		m.work = 20 * time.Millisecond
+	}
+	buys, pays, looks := p.say("buy", 800), p.say("pay", 800), p.say("look", 600)
+	p.run(time.Second)
+	if buys() != "ok" || looks() != "ok" || pays() == "ok" || pays() == "" {
+		t.Errorf("a new method hears %q, one that stays %q, one that there is no more %q", buys(), looks(), pays())
+	}
+	if got := n.Terms(); got["caps.attempts"] != "3" || got["caps.longest_wait"] != "7000" || got["caps.cancel"] == "" || n.most != 3 || n.loop.Most() != 300-3 {
+		t.Errorf("caps %s and %s, cancel %q, %d attempts, %d descriptors", got["caps.attempts"], got["caps.longest_wait"], got["caps.cancel"], n.most, n.loop.Most())
+	}
+	if v := c.publish(`{}`); v != 2 || n.Configuration().Version != 2 {
+		t.Fatalf("version %d, %+v", v, n.Configuration())
+	}
+	pays, buys = p.say("pay", 800), p.say("buy", 800)
+	p.run(time.Second)
+	if pays() != "ok" || buys() == "ok" || n.loop.Most() != 256-3 {
+		t.Errorf("back at its own file: pay hears %q, buy %q, %d descriptors", pays(), buys(), n.loop.Most())
+	}
+}
+
+// What a driver cannot take is refused whole, with one line; what is in force stays, and the machines know.
+func TestAVersionThatCannotBeServedIsRefused(t *testing.T) {
+	front := `front "odata" "shop" {
+  listen = "10.0.0.1:8080"
+  set "Items" {
+    key    = "Id"
+    groups = [0]
+    property "Id" {}
+    operation "read" {
+      method    = "look"
+      statement = "SELECT doc FROM items WHERE id = {key}"
+    }
+  }
+}
+`
+	p, c, _ := configured(t, "", front)
+	n := p.drivers[0].node
+	c.publish(`{"settings":{"caps":{"max_retry_after_us":7000}}}`)
+	for text, want := range map[string]string{
+		`{"settings":{"family_info":{"class_read":["old"]}}}`: `settings.family_info.class_read is "old" for classes.0`,
+		`{"settings":{"classes":[{"name":"seek","effect":"safe","points":2,"target_us":300000,"hard_limit_us":700000}],"family_info":{"class_read":["loose"]}}}`: `the operator's file does not go with it: d0.hcl:`,
+		`{"settings":{"classes":[{"name":"look","effect":"keyed","group":"cell","points":2,"target_us":300000,"hard_limit_us":700000}]}}`:                        `settings.classes.0.window_us is ""`,
+		`{"settings":{"classes":[{"name":"look","effect":"safe","points":2,"target_us":300000,"hard_limit_us":7000}]}}`:                                          `settings.classes.0.hard_limit_us is "7000": it is under target_us, "300000"`,
+	} {
+		v := c.publish(text)
+		got := n.Configuration()
+		if got.Version >= v || got.Refused != v || !strings.HasPrefix(got.Why, want) {
+			t.Errorf("%s: %+v", text, got)
+		}
+		if n.Terms()["caps.longest_wait"] != "7000" {
+			t.Error("a part of it is in force")
+		}
+	}
+	looks := p.say("look", 600)
+	p.run(time.Second)
+	if looks() != "ok" {
+		t.Errorf("an RPC hears %q", looks())
+	}
+	if v := c.publish(`{"settings":{"caps":{"max_retry_after_us":8000}}}`); n.Configuration().Version != v || n.Configuration().Refused != 0 {
+		t.Errorf("the next one: %+v", n.Configuration())
+	}
+}
+
+// With a folder a driver begins with the version that was in force, also while nobody tells it; without, with its own file.
+func TestARestartGoesBackBehindNoVersion(t *testing.T) {
+	for _, folder := range []string{t.TempDir(), ""} {
+		p, c, start := configured(t, folder, "")
+		c.publish(`{"settings":{"tick_us":8000,"areas":["b","a"],"caps":{"max_retry_after_us":7000}}}`)
+		n := p.drivers[0].node
+		if got := n.Configuration(); got.Version != 1 || strings.Join(got.Restart, " ") != "tick_us areas" || n.tick != 5*time.Millisecond {
+			t.Errorf("%+v, tick %v", got, n.tick)
+		}
+		for _, h := range c.hosts {
+			h.Kill()
+		}
+		n = start()
+		want := map[bool]uint64{true: 1, false: 0}[folder != ""]
+		if got := n.Configuration(); got.Version != want || len(got.Restart) > 0 {
+			t.Errorf("with folder %q: %+v", folder, got)
+		}
+		if folder != "" && (n.tick != 8*time.Millisecond || n.Terms()["caps.longest_wait"] != "7000" || n.zones[0] != "b") {
+			t.Errorf("tick %v, %v, zones %v", n.tick, n.Terms()["caps.longest_wait"], n.zones)
+		}
+		looks := p.say("look", 600)
+		p.run(3 * time.Second)
+		if looks() != "ok" {
+			t.Errorf("without control machines an RPC hears %q", looks())
+		}
+		if s := n.configuration.status(); s.SilentMS < 2500 || n.Counted("configuration_failures") == 0 {
+			t.Errorf("%+v", s)
+		}
+		n.LetGo()
+	}
+}
+
+// A folder whose version cannot be used any more is no reason not to serve.
+func TestAKeptVersionThatCannotBeUsed(t *testing.T) {
+	folder := t.TempDir()
+	p, c, start := configured(t, folder, "")
+	c.publish(`{"settings":{"caps":{"max_retry_after_us":7000}}}`)
+	p.drivers[0].host.Kill()
+	p.drivers[0].node.LetGo()
+	for _, h := range c.hosts {
+		h.Kill()
+	}
+	store, _, err := state.Open(folder, "d0", configurationFolder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Commit([]keep.Change{{Name: inForceName, Value: append([]byte{9, 0, 0, 0, 0, 0, 0, 0}, `{"settings":{"clases":[]}}`...)}}); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	n := start()
+	if got := n.Configuration(); got.Version != 0 || got.Refused != 9 || !strings.Contains(got.Why, "settings.clases") {
+		t.Errorf("%+v", got)
+	}
+	looks := p.say("look", 600)
+	p.run(time.Second)
+	if looks() != "ok" {
+		t.Errorf("an RPC hears %q", looks())
+	}
+	n.LetGo()
+}
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -143,6 +143,9 @@
 	if (wants.View == nil) != (n.wants.View == nil) || wants.View != nil && *wants.View != *n.wants.View {
 		restart = append(restart, "view")
 	}
+	if !reflect.DeepEqual(wants.Configuration, n.wants.Configuration) {
+		restart = append(restart, "configuration")
+	}
 	if wants.Control != n.wants.Control {
 		restart = append(restart, "control")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,42 +48,43 @@
 
 // Node is one driver.
 type Node struct {
-	site       *Site
-	loop       *loop.Loop
-	module     *rules.Router
-	wants      *operator.File
-	doors      []*door
-	byFront    map[driver.Front]*door
-	shares     share.Shares
-	pools      [driver.Forms]*member.Pool
-	opens      comeback.Opens
-	back       *comeback.Return
-	talk       *talk          // nil: it does not talk with others
-	view       *view          // nil: it has none of its fleet
-	listing    driver.Listing // how the list is that is being told
-	leases     *leases        // nil: it has no part in any
-	learned    *learned       // nil: nothing is kept
-	background background
-	simulated  bool // no time passes in a turn, and there are no workers
-	list       *list.Discovery
-	peers      *peers.Peers
-	rpcs       slots.Table[*rpc]
-	numbers    map[string]driver.Member // by uid
-	uids       map[driver.Member]string
-	last       driver.Member // the latest number given
-	zones      []string
-	counts     map[string]int
-	most       int // attempts of one RPC
-	tick       time.Duration
-	wake       loop.Due      // of the module
-	woke, due  time.Duration // when it came last, comes next
-	pace       time.Duration // between two while the module does not rest
-	lookAt     time.Duration // when the driver's way back is looked at next
-	partAt     time.Duration // when the fronts' shares are
-	fault      error
-	ending     time.Duration // when all must be answered, once a planned stop was begun
-	ends       time.Duration // when clients that are connected are served no more
-	lines      *logs.Lines
+	site          *Site
+	loop          *loop.Loop
+	module        *rules.Router
+	wants         *operator.File
+	doors         []*door
+	byFront       map[driver.Front]*door
+	shares        share.Shares
+	pools         [driver.Forms]*member.Pool
+	opens         comeback.Opens
+	back          *comeback.Return
+	talk          *talk          // nil: it does not talk with others
+	view          *view          // nil: it has none of its fleet
+	listing       driver.Listing // how the list is that is being told
+	leases        *leases        // nil: it has no part in any
+	configuration *configuration // nil: no control machine is asked
+	learned       *learned       // nil: nothing is kept
+	background    background
+	simulated     bool // no time passes in a turn, and there are no workers
+	list          *list.Discovery
+	peers         *peers.Peers
+	rpcs          slots.Table[*rpc]
+	numbers       map[string]driver.Member // by uid
+	uids          map[driver.Member]string
+	last          driver.Member // the latest number given
+	zones         []string
+	counts        map[string]int
+	most          int // attempts of one RPC
+	tick          time.Duration
+	wake          loop.Due      // of the module
+	woke, due     time.Duration // when it came last, comes next
+	pace          time.Duration // between two while the module does not rest
+	lookAt        time.Duration // when the driver's way back is looked at next
+	partAt        time.Duration // when the fronts' shares are
+	fault         error
+	ending        time.Duration // when all must be answered, once a planned stop was begun
+	ends          time.Duration // when clients that are connected are served no more
+	lines         *logs.Lines
 
 	said      map[string]bool // by the module of late
 	saidSince time.Duration
@@ -105,14 +106,14 @@
 }
 
 func on(l *loop.Loop, site *Site, wants *operator.File, simulated bool) (n *Node, err error) {
-	t := terms.New(site.Terms)
 	n = &Node{
 		lines: new(logs.Lines), simulated: simulated,
 		site: site, loop: l, counts: make(map[string]int), said: make(map[string]bool),
 		numbers: make(map[string]driver.Member), uids: make(map[driver.Member]string),
-		zones: strings.Split(site.Terms["zones"], ","), most: int(t.Number("caps.attempts", 1)),
-		tick: t.Span("tick"), wants: wants, byFront: make(map[driver.Front]*door), opens: comeback.NewOpens(site.span("caps.connect_timeout", 250*time.Millisecond)),
+		wants: wants, byFront: make(map[driver.Front]*door), opens: comeback.NewOpens(connectIn),
 	}
+	n.recallConfiguration()
+	wants, n.tick = n.wants, terms.New(site.Terms).Span("tick")
 	load := member.Load{Columns: site.columns(), Word: terms.Word}
 	n.speak(driver.Statements, &pgmember.Tongue{Load: load})
 	host := wants.Host
@@ -120,6 +121,7 @@
 		host = site.Name
 	}
 	n.speak(driver.Requests, &odatamember.Tongue{Load: load, Host: host})
+	n.follow()
 	l.MakeRoom = n.makeRoom
 	n.list = list.New(l, n, site.Discovery)
 	if site.PeerListen.IsValid() {
@@ -159,6 +161,7 @@
 	if site.Terms["list"] == "pushed" {
 		n.list.Watch(true)
 	}
+	n.watchConfiguration()
 	n.lookBack()
 	return n, nil
 }
@@ -186,9 +189,7 @@
 
 // speak opens the side for one protocol with members.
 func (n *Node) speak(form driver.Form, tongue member.Tongue) {
-	pool := member.New(n.loop, n, tongue, &n.opens, n.site.span("caps.connect_timeout", 250*time.Millisecond),
-		n.site.span("caps.idle_close", time.Hour))
-	n.pools[form] = pool
+	n.pools[form] = member.New(n.loop, n, tongue, &n.opens, connectIn, idleFor)
 }
 
 // makeRoom ends the connection to a member that was idle for longest, and lets a client that asks nothing go as well: its
@@ -217,6 +218,9 @@
 
 	lookingBack = 50 * time.Millisecond // between looks how far a driver has come back
 	buffers     = 4                     // a quarter of the memory may hold long messages
+
+	connectIn = 250 * time.Millisecond // to members, and how long they let connections rest, where the settings do not say
+	idleFor   = time.Hour
 )
 
 // Run serves until it is told to stop and has answered all that it took.
@@ -229,7 +233,15 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	n.lines.Level.Set(n.wants.Level)
 	n.lines.Sample.Store(n.wants.Sample)
-	start := *n.site
+	again := func() {
+		site := *n.site
+		go func() { // where nobody waits for it
+			fresh, err := site.again()
+			wants, wrong := site.Wants()
+			heard <- func() { n.reload(fresh, wants, errors.Join(err, wrong)) }
+			n.loop.Ring()
+		}()
+	}
 	go func() {
 		for s := range signals {
 			act := n.leave
@@ -237,13 +249,7 @@
 			case syscall.SIGUSR1:
 				act = n.print
 			case syscall.SIGHUP:
-				go func() { // where nobody waits for it
-					fresh, err := start.again()
-					wants, wrong := start.Wants()
-					heard <- func() { n.reload(fresh, wants, errors.Join(err, wrong)) }
-					n.loop.Ring()
-				}()
-				continue
+				act = again
 			}
 			heard <- act
 			n.loop.Ring()
@@ -278,9 +284,13 @@
 	}
 	n.Count("reloads")
 	s, restart := n.site, ""
+	settings := s.Terms
+	if n.configuration != nil {
+		settings = n.configuration.base.terms
+	}
 	for name, same := range map[string]bool{
 		"name": s.Name == fresh.Name, "listen": s.Listen == fresh.Listen,
-		"peer_listen": s.PeerListen == fresh.PeerListen, "settings": maps.Equal(s.Terms, fresh.Terms),
+		"peer_listen": s.PeerListen == fresh.PeerListen, "settings": maps.Equal(settings, fresh.Terms),
 	} {
 		if !same {
 			restart += "," + name
@@ -291,8 +301,10 @@
 		n.list.Move(s.Discovery)
 	}
 	s.Descriptors, s.Memory, s.Peers, s.PeerAll = fresh.Descriptors, fresh.Memory, fresh.Peers, fresh.PeerAll
-	n.loop.Limit(s.Descriptors, int(s.Memory/buffers))
-	debug.SetMemoryLimit(s.Memory * 3 / 4)
+	n.limit()
+	if n.configuration != nil {
+		n.configuration.reloaded(fresh, wants)
+	}
 	if n.peers != nil {
 		n.peers.Place(s.PeerAll, s.Peers)
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -111,17 +111,17 @@
 	if s.Operator == "" {
 		return operator.None(), nil
 	}
-	return operator.Read(s.Operator, s.Listen, s.offered())
+	return operator.Read(s.Operator, s.Listen, offered(s.Terms))
 }
 
 // Parse is Wants of a text.
 func (s *Site) Parse(text []byte, name string) (*operator.File, error) {
-	return operator.Parse(text, name, s.Listen, s.offered())
+	return operator.Parse(text, name, s.Listen, offered(s.Terms))
 }
 
 // offered is what the operator's file is checked against.
-func (s *Site) offered() []operator.Method {
-	t := terms.New(s.Terms)
+func offered(settings map[string]string) []operator.Method {
+	t := terms.New(settings)
 	var methods []operator.Method
 	for i := range int(t.Number("methods.count", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
@@ -164,13 +164,17 @@
 	return at, nil
 }
 
-// methods gives the names in order, which of them belong to sessions, and which carry a token.
+// methods gives the names in order, which of them belong to sessions, and which carry a token. Retired ones have none.
 func (s *Site) methods() (names []string, sessions, tokened []bool) {
 	t := terms.New(s.Terms)
 	for i := range int(t.Number("methods.count", 0)) {
 		need := t.Item("family_info.needs", i)
 		at := "methods." + strconv.Itoa(i)
-		names = append(names, t.Text(at+".name"))
+		name := t.Text(at + ".name")
+		if t.Yes(at + "." + terms.Retired) {
+			name = ""
+		}
+		names = append(names, name)
 		tokened = append(tokened, t.Text(at+".effect") == "tokened")
 		sessions = append(sessions, need == "session" || need == "write")
 	}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -270,6 +270,9 @@
 	if n.leases != nil && n.leases.store != nil {
 		n.leases.store.Close()
 	}
+	if n.configuration != nil && n.configuration.store != nil {
+		n.configuration.store.Close()
+	}
 }
 
 // saveRest writes what came since the latest commit, once the driver serves no more.
