--- a/internal/emu/play/folders.go
+++ b/internal/emu/play/folders.go
@@ -42,6 +42,26 @@
 
 func (f *Folders) paths(driver int) []string { return []string{f.Path(driver), f.VotesPath(driver)} }
 
+// ConfigurationPath is where every other driver keeps the version in force. It is never treated.
+func (f *Folders) ConfigurationPath(driver int) (path string, err error) {
+	if driver%2 == 1 {
+		return "", nil
+	}
+	path = filepath.Join(f.root, Driver(driver)+"-configuration")
+	return path, os.MkdirAll(path, 0o700)
+}
+
+// ControlPath is a control machine's folder.
+func (f *Folders) ControlPath(control int) string {
+	return filepath.Join(f.root, Control(control)+"-folder")
+}
+
+// TreatControl does to it what the script says, before the machine starts.
+func (f *Folders) TreatControl(control int, how string) error {
+	path := f.ControlPath(control)
+	return errors.Join(f.treat(path, how), os.MkdirAll(path, 0o700))
+}
+
 func copyOf(path string) string { return path + "-copy" }
 
 // how a folder is found by the next start.
--- a/internal/emu/play/leases.go
+++ b/internal/emu/play/leases.go
@@ -60,10 +60,12 @@
 type Places struct {
 	State, Votes     string // folders; "": none
 	Control, Witness netip.AddrPort
+	Machines         []netip.AddrPort // control machines that hand out configurations; none: none are asked
+	Configuration    string           // folder for what they say; "": none
 }
 
 // OwnFile tells whether each driver has an operator's file of its own.
-func (s *Script) OwnFile() bool { return s.Folders || s.Leases != nil || s.View > 0 }
+func (s *Script) OwnFile() bool { return s.Folders || s.Leases != nil || s.View > 0 || s.Controls > 0 }
 
 // OperatorText is the operator's file of one driver: what the script gives all of them, and its own places.
 func (s *Script) OperatorText(driver int, at Places, by Electorate) ([]byte, error) {
@@ -80,6 +82,17 @@
 	if at.Control.IsValid() {
 		text = fmt.Appendf(text, "\ncontrol {\n  listen = %q\n}\n", at.Control)
 	}
+	if len(at.Machines) > 0 {
+		var machines []string
+		for _, m := range at.Machines {
+			machines = append(machines, fmt.Sprintf("%q", m))
+		}
+		text = fmt.Appendf(text, "\nconfiguration {\n  fleet = \"rehearsal\"\n  machines = [%s]\n", strings.Join(machines, ", "))
+		if at.Configuration != "" {
+			text = fmt.Appendf(text, "  folder = %q\n", at.Configuration)
+		}
+		text = append(text, "}\n"...)
+	}
 	if s.View > 0 {
 		text = fmt.Appendf(text, "\nview {\n  fleet = \"rehearsal\"\n  every = %q\n", s.View)
 		if s.ViewConnections > 0 {
--- a/internal/emu/play/network.go
+++ b/internal/emu/play/network.go
@@ -20,7 +20,7 @@
 // Road is a way on which one place calls another.
 type Road struct{ From, To string }
 
-// Names of places that are no driver d0, d1, ... and no member m0, m1, ...
+// Names of places that are no driver d0, d1, ..., no member m0, m1, ... and no control machine c0, c1, ...
 const (
 	toDiscovery = "discovery"
 	fromClients = "clients"
@@ -54,16 +54,28 @@
 				roads = append(roads, Road{Driver(d), Driver(o)})
 			}
 		}
+		for c := range s.Controls {
+			roads = append(roads, Road{Driver(d), Control(c)})
+		}
+	}
+	for c := range s.Controls {
+		for o := range s.Controls {
+			if o != c {
+				roads = append(roads, Road{Control(c), Control(o)})
+			}
+		}
 	}
 	return roads
 }
 
-// places reads a name or a range of places: d3, d0..5, drivers, m1, m0..3, members, discovery, clients.
+// places reads a name or a range of places: d3, d0..5, drivers, m1, m0..3, members, c0, controls, discovery, clients.
 func (s *Script) places(text string) (names []string, err error) {
-	all := map[byte]int{'d': s.Drivers, 'm': s.Groups * s.Members}
+	all := map[byte]int{'d': s.Drivers, 'm': s.Groups * s.Members, 'c': s.Controls}
 	switch text {
 	case toDiscovery, fromClients:
 		return []string{text}, nil
+	case "controls":
+		text = fmt.Sprintf("c0..%d", all['c']-1)
 	case "drivers":
 		text = fmt.Sprintf("d0..%d", all['d']-1)
 	case "members":
--- a/internal/emu/play/rehearse.go
+++ b/internal/emu/play/rehearse.go
@@ -51,6 +51,9 @@
 
 // Rehearse plays the script in simulated time.
 func Rehearse(s *Script, seed uint64) (*Result, error) {
+	if s.Controls > 0 {
+		return nil, errors.New("control machines are played where they and the drivers are processes only")
+	}
 	st := &stage{script: s, seed: seed, world: sim.New(seed, epoch), record: emu.NewRecord(emu.Allowed{Grace: s.Grace, Slack: 100 * time.Millisecond})}
 	if s.OwnFile() {
 		root, err := os.MkdirTemp("", "rehearsal")
--- a/internal/emu/play/result.go
+++ b/internal/emu/play/result.go
@@ -13,22 +13,23 @@
 
 // Result is what a rehearsal came to.
 type Result struct {
-	Script  *Script
-	Seed    uint64
-	Asked   int
-	Served  int
-	Utility float64 // answered in time, over what was asked for
-	Answers map[string]int
-	Broken  []string        // rules
-	Took    []time.Duration // of RPCs that were ok, over all their tries, in rising order
-	Digest  uint64          // of all that was recorded: the same for the same seed
-	Ledger  *emu.Ledger
-	Flow    Flow
-	Falls   []Fall
-	Course  Course
-	Changes []Change     // of primaries
-	Witness *Witness     // nil: nobody acts by leases
-	Views   []ViewSample // what drivers that are processes told of their views, in the order in which it came
+	Script   *Script
+	Seed     uint64
+	Asked    int
+	Served   int
+	Utility  float64 // answered in time, over what was asked for
+	Answers  map[string]int
+	Broken   []string        // rules
+	Took     []time.Duration // of RPCs that were ok, over all their tries, in rising order
+	Digest   uint64          // of all that was recorded: the same for the same seed
+	Ledger   *emu.Ledger
+	Flow     Flow
+	Falls    []Fall
+	Course   Course
+	Changes  []Change        // of primaries
+	Witness  *Witness        // nil: nobody acts by leases
+	Versions []VersionSample // what drivers and control machines that are processes told of versions, in the order in which it came
+	Views    []ViewSample    // what drivers that are processes told of their views, in the order in which it came
 }
 
 // ViewSample is a driver's view of its fleet at some time after the script's start.
--- a/internal/emu/play/script.go
+++ b/internal/emu/play/script.go
@@ -62,6 +62,8 @@
 	Folders         bool          // drivers keep what they learn
 	SaveEvery       time.Duration // and write it so often
 	KnownFirst      bool          // drivers are always started with the list of the play's beginning
+	Controls        int           // control machines that all drivers ask, 0: none
+	Publications    []Publication // what is published on them
 	Twins           []int         // drivers that are started under the name of the one before them
 	Older           []int         // drivers that an older program is started for, where drivers are processes
 	Leases          *Leases       // nil: none
@@ -105,6 +107,7 @@
 	"pause": {"member", "part"}, "kill": {"member", "part"}, "drain": {"member", ""},
 	"slow": {"member", "times"}, "theft": {"member", "times"}, "lag": {"member", "times"},
 	"driver_kill": {"driver", "within part folder times every"}, "driver_stop": {"driver", "within part folder"}, "driver_pause": {"driver", "part"},
+	"control_kill": {"control", "folder"}, "control_pause": {"control", ""},
 	"voters":    {"driver", ""}, // who votes from then on: for as long as it lasts together with those before
 	"discovery": {"agent", ""}, "discovery_old": {"none", ""},
 	"cut": {"link", "every one_way"}, "refuse": {"link", "every"}, "reset": {"link", ""},
@@ -132,14 +135,16 @@
 		Operator  string `hcl:"operator,optional"`
 		Older     []int  `hcl:"older,optional"`
 		Twins     []int  `hcl:"twins,optional"`
+		Controls  int    `hcl:"controls,optional"`
 		Folders   bool   `hcl:"folders,optional"`
 		SaveEvery string `hcl:"save_every,optional"`
 		Known     string `hcl:"known,optional"`
 		Notice    string `hcl:"notice,optional"`
 		Takeover  string `hcl:"takeover,optional"`
 	} `hcl:"fleet,block"`
-	Leases *leasesText `hcl:"leases,block"`
-	View   *struct {
+	Publish []publishText `hcl:"publish,block"`
+	Leases  *leasesText   `hcl:"leases,block"`
+	View    *struct {
 		Every       string `hcl:"every,optional"`
 		Connections int    `hcl:"connections,optional"`
 	} `hcl:"view,block"`
@@ -266,7 +271,7 @@
 			for _, l := range inner.Labels {
 				at += " " + l
 			}
-			if inner.Type == "trouble" || inner.Type == "surge" {
+			if inner.Type == "trouble" || inner.Type == "surge" || inner.Type == "publish" {
 				at = fmt.Sprintf("%s%s %d", path, inner.Type, counts[path+inner.Type]+1)
 				counts[path+inner.Type]++
 			}
@@ -357,6 +362,7 @@
 	if t.Leases != nil {
 		s.Leases = t.Leases.read(s, span, wrong)
 	}
+	t.controls(s, span, wrong)
 	for _, n := range f.Older {
 		if n < 0 || n >= s.Drivers {
 			wrong("fleet older", "there is no driver %d", n)
@@ -471,10 +477,14 @@
 	if has("by") && r.By == 0 {
 		r.By = 50 * time.Millisecond
 	}
-	most := map[string]int{"member": s.Members * s.Groups, "driver": s.Drivers, "link": s.Drivers, "agent": s.Drivers}[k.about]
+	most := map[string]int{"member": s.Members * s.Groups, "driver": s.Drivers, "link": s.Drivers, "agent": s.Drivers, "control": s.Controls}[k.about]
 	for _, n := range x.On {
 		if n < 0 || n >= most {
-			wrong(at+" on", "there is no %s %d", map[bool]string{true: "member", false: "driver"}[k.about == "member"], n)
+			what := k.about
+			if what == "link" || what == "agent" {
+				what = "driver"
+			}
+			wrong(at+" on", "there is no %s %d", what, n)
 		}
 	}
 	if k.about == "none" && len(x.On) > 0 {
@@ -492,9 +502,12 @@
 	if x.Kind == "voters" && s.Leases == nil {
 		wrong(at, "the script has no leases")
 	}
-	if len(r.On) == 0 && (k.about == "member" || k.about == "driver") {
+	if len(r.On) == 0 && (k.about == "member" || k.about == "driver" || k.about == "control") {
 		wrong(at, "on is missing")
 	}
+	if k.about == "control" && r.Folder != "" && r.Folder != keptFolder && r.Folder != emptiedFolder {
+		wrong(at+" folder", "%q is neither kept nor emptied", r.Folder)
+	}
 	if k.about != "link" && (x.From != nil || x.To != nil) {
 		wrong(at, "%s has no use for from and to", x.Kind)
 	}
--- a/internal/emu/rig/rig.go
+++ b/internal/emu/rig/rig.go
@@ -42,13 +42,15 @@
 	answered chan struct{}
 }
 
-// said is a line of a driver's log, or its end.
+// said is a line of a driver's log, or its end; or a line of a control machine's, or of a publisher.
 type said struct {
-	driver *driver
-	life   int
-	line   string
-	ended  bool
-	cause  error
+	machine   *machine
+	publisher string
+	driver    *driver
+	life      int
+	line      string
+	ended     bool
+	cause     error
 }
 
 // fleet is a play under way.
@@ -74,6 +76,9 @@
 	folders  *play.Folders
 	witness  *play.Witness
 	views    *viewers
+	program  string
+	machines []*machine
+	versions *versions
 	places   []play.Places // of each driver's operator's file
 	voters   play.Electorate
 	fault    error
@@ -87,7 +92,7 @@
 // Play plays the script in real time with processes as the drivers. What they log goes to log, each line behind its driver's
 // name. No process outlives the call, nor this process.
 func Play(s *play.Script, seed uint64, programs Programs, log io.Writer) (*play.Result, error) {
-	f := &fleet{script: s, seed: seed, log: log, chance: pcg.New(seed + 3), relays: make(map[play.Road]*relay),
+	f := &fleet{script: s, seed: seed, log: log, program: programs.Path, chance: pcg.New(seed + 3), relays: make(map[play.Road]*relay),
 		posts: make(map[play.Road]*post), said: make(chan said, 1024),
 		record: emu.NewRecord(emu.Allowed{Grace: s.Grace, Slack: 150 * time.Millisecond})}
 	var err error
@@ -125,8 +130,9 @@
 	})
 	err = f.loop.Run(f.hear)
 	var views []play.ViewSample
+	var told []play.VersionSample
 	if f.views != nil {
-		views = f.views.over()
+		views, told = f.views.over(), f.versions.over()
 	}
 	if err != nil {
 		return nil, err
@@ -138,7 +144,7 @@
 		return nil, fmt.Errorf("the play broke down: %w", f.fault)
 	}
 	result := f.clients.Result(s, seed, f.cluster, f.falls, f.witness, f.loop.Now())
-	result.Views = views
+	result.Views, result.Versions = views, told
 	return result, nil
 }
 
@@ -205,6 +211,9 @@
 	if err := f.lease(lots); err != nil {
 		return err
 	}
+	if err := f.controlMachines(lots); err != nil {
+		return err
+	}
 	if s.Peers {
 		return f.connect(lots)
 	}
@@ -350,6 +359,12 @@
 			d.process.Process.Kill()
 		}
 	}
+	for _, m := range f.machines {
+		if m.process != nil {
+			m.process.Process.Signal(syscall.SIGCONT)
+			m.process.Process.Kill()
+		}
+	}
 	over := make(chan struct{})
 	go func() {
 		f.readers.Wait()
@@ -377,6 +392,10 @@
 }
 
 func (f *fleet) heard(s said) {
+	if s.machine != nil || s.publisher != "" {
+		f.heardControl(s)
+		return
+	}
 	d := s.driver
 	if s.ended {
 		if s.life == d.life && d.running {
@@ -401,6 +420,9 @@
 	if strings.HasPrefix(event, "state_") && f.began > 0 {
 		f.note(d, "%s members=%s lost=%s%s", event, field(s.line, "members"), field(s.line, "lost"), field(s.line, "cause"))
 	}
+	if strings.HasPrefix(event, "configuration") && f.began > 0 {
+		f.note(d, "%s %s %s", event, field(s.line, "version"), field(s.line, "cause"))
+	}
 	if event == "comeback" && f.began > 0 {
 		f.note(d, "is %s", field(s.line, "stage"))
 		f.falls.Reached(d.number, field(s.line, "stage"), f.loop.Now()-f.began)
@@ -431,7 +453,10 @@
 // begin lets clients come, and the script's time begin.
 func (f *fleet) begin() {
 	f.began = f.loop.Now()
-	f.views = f.watchViews()
+	f.views, f.versions = f.watchViews(), f.watchVersions()
+	for n, p := range f.script.Publications {
+		f.loop.At(f.began+p.At, func() { f.publish(n, p) })
+	}
 	f.cluster.Begin()
 	var doors []netip.AddrPort
 	for _, d := range f.drivers {
@@ -470,6 +495,10 @@
 		for place, n := range t.On {
 			f.strike(f.drivers[n], t.Kind, t.Folder, t.Back(place, until))
 		}
+	case "control_kill", "control_pause":
+		for _, n := range t.On {
+			f.strikeControl(f.machines[n], t, until)
+		}
 	case "voters":
 		f.elect(t, until)
 	default:
