--- a/internal/lab/capacity/capacity.go
+++ b/internal/lab/capacity/capacity.go
@@ -45,7 +45,7 @@
 }
 
 // sources are where the sweeps come from.
-var sources = []func() []Sweep{viewSweeps, leaseSweeps, listSweeps, processSweeps, driverSweeps, primarySweeps}
+var sources = []func() []Sweep{viewSweeps, leaseSweeps, listSweeps, processSweeps, driverSweeps, primarySweeps, configurationSweeps}
 
 // Sweeps are all that there are, in the order in which they are played.
 func Sweeps() (all []Sweep) {
