Configuration: checked before it is published, a command's tests, planted mistakes from test files

A publisher that reached no machine says that nothing is published; it said that it might be (seen in TestConfigurationIsPublishedByCommand: a refused connect counted as a try that may have been heard). The register has no seam for planted mistakes: versions by clock are written by the test itself, and a driver that applies before it checks is played by its steps in the wrong order.

--- a/cmd/passtack/config.go
+++ b/cmd/passtack/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -204,7 +205,9 @@
 		}
 		switch {
 		case wrong != nil:
-			err, unsure = fmt.Errorf("%s: %w", at, wrong), true
+			var op *net.OpError
+			reached := !errors.As(wrong, &op) || op.Op != "dial"
+			err, unsure = fmt.Errorf("%s: %w", at, wrong), unsure || reached
 		case status == 200:
 			return told.Version, nil
 		case told.Outcome == rollout.Outdated:
--- /dev/null
+++ b/cmd/passtack/config_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// controls starts three control machines as processes, and gives their addresses.
+func controls(t *testing.T) (at []string, all []*process, again func(n int)) {
+	t.Helper()
+	dir := t.TempDir()
+	for range 3 {
+		at = append(at, freeAddress(t))
+	}
+	all = make([]*process, 3)
+	again = func(n int) {
+		all[n] = startProcess(t, "control", "--operator", filepath.Join(dir, fmt.Sprintf("c%d.hcl", n)))
+	}
+	for n := range 3 {
+		folder := filepath.Join(dir, fmt.Sprint("c", n))
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		text := fmt.Sprintf("control_machine \"c%d\" {\n  fleet = \"shop\"\n  listen = %q\n  folder = %q\n", n, at[n], folder)
+		for o := range 3 {
+			if o != n {
+				text += fmt.Sprintf("  peer \"c%d\" {\n    at = %q\n  }\n", o, at[o])
+			}
+		}
+		os.WriteFile(filepath.Join(dir, fmt.Sprintf("c%d.hcl", n)), []byte(text+"}\n"), 0o600)
+		again(n)
+	}
+	return at, all, again
+}
+
+// Versions are published, shown, refused by machines and by drivers, put back and outlast the machines' ends; without a majority nothing is
+// published, and the command says so.
+func TestConfigurationIsPublishedByCommand(t *testing.T) {
+	at, all, again := controls(t)
+	machines := strings.Join(at, ",")
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		os.WriteFile(path, []byte(text), 0o600)
+		return path
+	}
+	front := "front \"odata\" \"offices\" {\n  listen = \"" + freeAddress(t) + "\"\n  set \"Items\" {\n    key = \"Id\"\n    groups = [0]\n    property \"Id\" {}\n    operation \"read\" {\n" +
+		"      method = \"own-read\"\n      statement = \"SELECT doc FROM items WHERE id = {key}\"\n    }\n  }\n}\n"
+	driver := func(name, more string) {
+		text := strings.NewReplacer(`"n0"`, fmt.Sprintf("%q", name), "127.0.0.1:6543", freeAddress(t), "127.0.0.1:8500", freeAddress(t)).Replace(site)
+		wants := fmt.Sprintf("configuration {\n  fleet = \"shop\"\n  machines = [%q, %q, %q]\n}\n", at[0], at[1], at[2])
+		startProcess(t, "serve", "--site", file(name+".json", text), "--operator", file(name+".hcl", wants+more))
+	}
+	driver("n0", "")
+	driver("n1", front)
+	config := func(want bool, args ...string) string {
+		t.Helper()
+		out, ok := passtack(t, append([]string{"config"}, append(args, "--at", machines)...)...)
+		if ok != want {
+			t.Fatalf("config %v: %v\n%s", args, ok, out)
+		}
+		return out
+	}
+	says := func(out string, wants ...string) {
+		t.Helper()
+		for _, want := range wants {
+			if !strings.Contains(out, want) {
+				t.Errorf("%q is not in\n%s", want, out)
+			}
+		}
+	}
+	first := file("first.json", "{\"settings\": {\"caps\": {\"most_tries\": 4}}}\n")
+	says(config(true, "publish", first), "version 1\n", "version 1 is in force at 2 of 2 drivers; 0 lag, 0 refuse it")
+	says(config(true, "show"), `{"settings":{"caps":{"most_tries":4}}}`)
+	says(config(false, "publish", file("bad.json", `{"settings":{"caps":{"most_tries":"many"}}}`)), `bad.json: settings.caps.most_tries is "many": a whole number from 1 on is wanted`)
+	says(config(false, "publish", first, "--from", "7"), "version 1 is in force, and the text was made from 7: make it anew from that")
+	fewer := file("fewer.json", `{"settings":{"classes":[{"name":"status-read","effect":"safe","points":1,"target_us":1000000,"hard_limit_us":2000000}],"family_info":{"class_read":["recent"]}}}`)
+	says(config(true, "publish", fewer), "version 2 is in force at 1 of 2 drivers; 0 lag, 1 refuse it", "refuses 2: the operator's file does not go with it", `method is none of the settings ("own-read")`)
+	says(config(true, "publish", first), "version 3 is in force at 2 of 2 drivers")
+	var told struct {
+		Version uint64
+		Drivers map[string]struct{ Version uint64 }
+	}
+	if err := json.Unmarshal([]byte(config(true, "status", "--json")), &told); err != nil || told.Version != 3 || told.Drivers["n1"].Version != 3 {
+		t.Errorf("%v: %+v", err, told)
+	}
+	for _, p := range all { // all at once, by force
+		p.command.Process.Signal(syscall.SIGKILL)
+	}
+	time.Sleep(100 * time.Millisecond)
+	again(0)
+	says(config(false, "publish", first), "1 of 3 control machines answer, which is no majority")
+	says(config(false, "publish", first, "--from", "3"), "no machine writes: a majority of them is down or cut off")
+	again(1)
+	says(config(true, "publish", first), "version 4 is in force at 2 of 2 drivers")
+	again(2)
+	says(config(true, "show"), "version 4")
+	all[2].command.Process.Signal(syscall.SIGTERM)
+	if err := <-all[2].ended; err != nil {
+		t.Errorf("told to end it ends with %v", err)
+	}
+	close(all[2].ended)
+}
+
+// What is to be published can be checked against a driver's own files before.
+func TestCheckOfAConfiguration(t *testing.T) {
+	dir := t.TempDir()
+	at, text := filepath.Join(dir, "site.json"), filepath.Join(dir, "configuration.json")
+	os.WriteFile(at, []byte(site), 0o600)
+	for content, want := range map[string]string{
+		`{"settings":{"caps":{"most_tries":4}}}`:              "",
+		`{"settings":{"family_info":{"class_read":["old"]}}}`: `configuration.json: settings.family_info.class_read is "old" for classes.0`,
+	} {
+		os.WriteFile(text, []byte(content), 0o600)
+		if out, ok := passtack(t, "check", "--site", at, "--configuration", text); ok != (want == "") || !strings.Contains(out, want) {
+			t.Errorf("%s: %s", content, out)
+		}
+	}
+}
--- a/cmd/passtack/lives_test.go
+++ b/cmd/passtack/lives_test.go
@@ -138,7 +138,13 @@
 // serveProcess starts a driver and waits until it serves.
 func serveProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	c := exec.Command(os.Args[0], append([]string{"serve"}, args...)...)
+	return startProcess(t, append([]string{"serve"}, args...)...)
+}
+
+// startProcess starts the program and waits until it says that it has started.
+func startProcess(t *testing.T, args ...string) *process {
+	t.Helper()
+	c := exec.Command(os.Args[0], args...)
 	c.Env = append(os.Environ(), "PASSTACK_ITSELF=1")
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := c.StderrPipe()
--- a/cmd/passtack/main.go
+++ b/cmd/passtack/main.go
@@ -54,13 +54,25 @@
 	return n.Run()
 }
 
-type check struct{ place }
+type check struct {
+	place
+	Configuration string `help:"What is to be published for the fleet (JSON): whether this driver could take it." type:"existingfile" placeholder:"FILE"`
+}
 
 func (c *check) Run() error {
 	site, wants, err := c.read()
 	if err != nil {
 		return err
 	}
+	if c.Configuration != "" {
+		text, err := os.ReadFile(c.Configuration)
+		if err == nil {
+			err = node.CheckPublished(site, wants, text)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", c.Configuration, err)
+		}
+	}
 	fmt.Printf("name=%s listen=%s discovery=%s methods=%s\n", site.Name, site.Listen, site.Discovery, site.Terms["methods.count"])
 	for _, f := range wants.Fronts[1:] {
 		sets := 0
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -72,6 +72,12 @@
 	return &prepared{version: version, text: text, terms: all, wants: wants, memory: p.MemoryMB << 20, sockets: p.Sockets}, nil
 }
 
+// CheckPublished tells why a driver could not take over a configuration.
+func CheckPublished(site *Site, wants *operator.File, text []byte) error {
+	_, err := own{site.Terms, wants, site.Memory, site.Descriptors}.prepare(0, text)
+	return err
+}
+
 // recallConfiguration begins with the version that the folder has, before anything is made by the settings.
 func (n *Node) recallConfiguration() {
 	w := n.wants.Configuration
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -290,3 +290,53 @@
 	}
 	n.LetGo()
 }
+
+// wrongIn tells what is wrong with how a driver goes by what was published: it has something in force that cannot be served, or goes by other
+// settings than the version says that it has.
+func wrongIn(n *Node, published map[uint64]string) string {
+	if err := terms.New(n.Terms()).Unusable(); err != nil {
+		return "in force cannot be served: " + err.Error()
+	}
+	p, err := terms.ParsePublished([]byte(published[n.Configuration().Version]))
+	if err != nil {
+		return err.Error()
+	}
+	want, err := p.Over(n.configuration.base.terms)
+	if err != nil {
+		return err.Error()
+	}
+	for _, path := range []string{"caps.longest_wait", "caps.attempts", "methods.count", "family_info.needs"} {
+		if n.Terms()[path] != want[path] {
+			return fmt.Sprintf("%s is %q, and version %d says %q", path, n.Terms()[path], n.Configuration().Version, want[path])
+		}
+	}
+	return ""
+}
+
+// A driver that would apply a version before it has checked it is found by what holds then.
+func TestAppliedBeforeCheckedIsFound(t *testing.T) {
+	good, bad := `{"settings":{"caps":{"max_retry_after_us":7000}}}`, `{"settings":{"caps":{"max_retry_after_us":9000},"family_info":{"class_read":["old"]}}}`
+	for _, planted := range []bool{false, true} {
+		_, c, _ := configured(t, "", "")
+		n := c.play.drivers[0].node
+		published := map[uint64]string{c.publish(good): good}
+		if wrong := wrongIn(n, published); wrong != "" {
+			t.Fatal(wrong)
+		}
+		if planted { // the steps of Offered and adopt in the wrong order
+			all := n.Terms()
+			all["caps.longest_wait"], all["family_info.needs"] = "9000", "old"
+			n.configuration.adopt(&prepared{version: 2, text: []byte(bad), terms: all, wants: n.wants})
+			if _, err := n.configuration.base.prepare(2, []byte(bad)); err != nil {
+				n.configuration.standing.Version = 1
+				n.configuration.refuse(2, err)
+			}
+		} else {
+			published[c.publish(bad)] = bad
+		}
+		wrong := wrongIn(n, published)
+		if (wrong != "") != planted {
+			t.Errorf("planted %v: %q", planted, wrong)
+		}
+	}
+}
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -64,13 +64,12 @@
 	waiting  []Publish
 
 	majority int
-	next     func(newest, floor uint64) uint64 // version after those
 }
 
 // New makes a machine that has just started with what is on its disk. Of its peers each has a name of its own.
 func New(host Host, me lease.Node, others []lease.Node, kept State) *Machine {
 	m := &Machine{host: host, me: me, others: others, lives: make(map[lease.Node]uint64), state: kept, learned: make(map[lease.Node]Message),
-		toldAt: -Quiet, majority: (len(others)+1)/2 + 1, next: func(newest, floor uint64) uint64 { return max(newest, floor) + 1 }}
+		toldAt: -Quiet, majority: (len(others)+1)/2 + 1}
 	return m
 }
 
@@ -409,7 +408,7 @@
 func (m *Machine) goOn() {
 	for m.Writes() && m.writing == nil {
 		newest := m.state.Committed
-		following := m.next(newest.Version, m.state.Floor)
+		following := max(newest.Version, m.state.Floor) + 1
 		if newest.Version > 0 && m.state.Floor > newest.Version {
 			m.write(Entry{Version: following, Text: newest.Text, Recent: newest.Recent})
 			return
--- a/internal/rollout/world_test.go
+++ b/internal/rollout/world_test.go
@@ -30,7 +30,8 @@
 	broken   string
 	loss     float64
 	cut      map[[2]int]bool
-	change   func(m *Machine, n int, now func() time.Duration)
+	change   func(m *Machine)
+	clocks   bool // versions are planted by the machines' clocks
 	asked    int
 	done     int
 }
@@ -48,7 +49,7 @@
 
 func nodeOf(n int) lease.Node { return lease.Node(n + 1) }
 
-func newWorld(seed uint64, change func(m *Machine, n int, now func() time.Duration)) *world {
+func newWorld(seed uint64, change func(m *Machine)) *world {
 	w := &world{chance: pcg.New(seed), drivers: make([]uint64, 5), texts: make(map[uint64]string), ids: make(map[uint64]uint64), bases: make(map[uint64]uint64),
 		cut: make(map[[2]int]bool), change: change}
 	for n := range 3 {
@@ -106,7 +107,7 @@
 	}
 	u.m = New(u, nodeOf(u.n), others, u.disk)
 	if c := u.world.change; c != nil {
-		c(u.m, u.n, func() time.Duration { return u.world.now })
+		c(u.m)
 	}
 	life := u.life
 	var wake func()
@@ -180,10 +181,22 @@
 func (w *world) publish(n int, id, base uint64) {
 	if u := w.machines[n]; u.m != nil {
 		w.asked++
+		if w.clocks {
+			u.byClock(Publish{Ticket: id<<32 | base, ID: id<<32 | base, Text: fmt.Sprint("text ", id)})
+			return
+		}
 		u.m.Publish(Publish{Ticket: id<<32 | base, ID: id<<32 | base, Base: base, Text: fmt.Sprint("text ", id)})
 	}
 }
 
+// byClock is a planted mistake: the machine that writes gives a text the version that its own clock says, which are some seconds apart.
+func (u *unit) byClock(p Publish) {
+	if m := u.m; m.Writes() && m.writing == nil {
+		m.inHand = &p
+		m.write(Entry{Version: uint64((u.world.now + time.Duration(u.n)*3*time.Second) / (700 * time.Millisecond)), Text: p.Text})
+	}
+}
+
 // look lets a driver take what a machine gives it.
 func (w *world) look(d, n int) {
 	u := w.machines[n]
@@ -248,8 +261,9 @@
 }
 
 // play draws troubles, publications and drivers, and then lets all be well again.
-func play(seed uint64, change func(m *Machine, n int, now func() time.Duration)) *world {
+func play(seed uint64, change func(m *Machine), clocks bool) *world {
 	w := newWorld(seed, change)
+	w.clocks = clocks
 	w.run(2 * time.Second)
 	var id uint64
 	for range 150 {
@@ -311,7 +325,7 @@
 	}
 	asked, done, most := 0, 0, uint64(0)
 	for seed := range seeds {
-		w := play(uint64(seed)+1, nil)
+		w := play(uint64(seed)+1, nil, false)
 		if w.broken != "" {
 			t.Fatalf("seed %d: %s", seed+1, w.broken)
 		}
@@ -325,18 +339,14 @@
 
 // Each planted mistake is found by the same draw.
 func TestPlantedMistakesAreFound(t *testing.T) {
-	for name, change := range map[string]func(m *Machine, n int, now func() time.Duration){
-		"a majority of one": func(m *Machine, _ int, _ func() time.Duration) { m.majority = 1 },
-		"versions by clock": func(m *Machine, n int, now func() time.Duration) {
-			m.next = func(_, _ uint64) uint64 {
-				return uint64((now() + time.Duration(n)*3*time.Second) / (700 * time.Millisecond))
-			}
-		},
-		"what others know is not taken over": func(m *Machine, _ int, _ func() time.Duration) { m.state.Joined = true },
+	for name, change := range map[string]func(m *Machine){
+		"a majority of one":                  func(m *Machine) { m.majority = 1 },
+		"versions by clock":                  nil,
+		"what others know is not taken over": func(m *Machine) { m.state.Joined = true },
 	} {
 		found := 0
 		for seed := uint64(1); seed <= 300 && found == 0; seed++ {
-			if w := play(seed, change); w.broken != "" {
+			if w := play(seed, change, change == nil); w.broken != "" {
 				found++
 				t.Logf("%s: seed %d: %s", name, seed, w.broken)
 			}
