A refused version is offered again once the driver's files have changed; its number is not reused

By reading: a driver that refused a version for its operator's file would not hear of it again after SIGHUP; and machines that had lost their folders could give the number that a driver had refused to another text, which it would never take. TestAMendedFileTakesWhatWasRefused, TestRefusedNumbersAreNotUsedAgain.

Simulated networks: a connect that was given up while a link was cut arrived once it was mended, as a connection that nobody ended. TestGivenUpConnectsDoNotArriveLater has 20 such connections without the change.

--- a/internal/loop/sim/sim_test.go
+++ b/internal/loop/sim/sim_test.go
@@ -299,3 +299,29 @@
 		t.Errorf("of 250: %d lost, %d twice, %d overtaken, %d came back", lost, twice, swapped, echoes)
 	}
 }
+
+// Connects that are given up while a link is cut do not arrive once it is mended: a kernel asks no longer for a socket that is closed.
+func TestGivenUpConnectsDoNotArriveLater(t *testing.T) {
+	p := newPair(t, 1)
+	cut := Plain
+	cut.Cut = true
+	p.world.Join(p.hosts[0], p.hosts[1], cut)
+	for range 20 {
+		p.dial(t)
+		p.here.stream.Close()
+	}
+	p.run(5 * time.Second)
+	p.world.Join(p.hosts[0], p.hosts[1], Plain)
+	p.run(5 * time.Second)
+	if p.there != nil {
+		t.Error("somebody has come")
+	}
+	if n, _ := p.loops[1].Open(); n != 4 { // three of its own, and the listener
+		t.Errorf("%d descriptors are open where nobody came", n)
+	}
+	p.dial(t)
+	p.run(time.Second)
+	if !p.here.opened {
+		t.Error("a connect that was not given up does not arrive")
+	}
+}
--- a/internal/loop/sim/sockets.go
+++ b/internal/loop/sim/sockets.go
@@ -161,15 +161,19 @@
 		return fd, nil
 	}
 	s.way = way{road: road{h, to}, from: h, to: place.host}
-	w.carry(s.way, 0, true, 0, func() { w.knock(s, place, to) })
+	w.carry(s.way, 0, func() bool { return !s.closed }, 0, func() { w.knock(s, place, to) })
 	return fd, nil
 }
 
+// knock lets a connect arrive. One that was given up meanwhile would be reset at once: it is not let in.
 func (w *World) knock(s, place *socket, to netip.AddrPort) {
+	if s.closed {
+		return
+	}
 	target := w.places[to]
 	back := way{road: s.way.road, from: place.host, to: s.host, back: true}
 	if target == nil || target.kind != listener || len(target.waiting) >= backlog || w.link(s.way).Refuse {
-		w.carry(back, 0, true, 0, func() { s.refuse(unix.ECONNREFUSED) })
+		w.carry(back, 0, always, 0, func() { s.refuse(unix.ECONNREFUSED) })
 		return
 	}
 	other := &socket{kind: stream, at: to, peer: s, latest: w.now, way: back}
@@ -177,7 +181,7 @@
 	other.host = target.host
 	target.waiting = append(target.waiting, other)
 	target.touch()
-	w.carry(back, 0, true, 0, func() {
+	w.carry(back, 0, always, 0, func() {
 		if !s.closed {
 			s.opening, s.latest = false, w.now
 			s.touch()
@@ -202,21 +206,23 @@
 	return 0, unix.EAGAIN
 }
 
+func always() bool { return true }
+
 // carry lets something arrive at another host. What a stream sends arrives in order, however late; while the link is cut
-// it waits, and a datagram is gone.
-func (w *World) carry(by way, after time.Duration, again bool, bytes int, arrive func()) (at time.Duration) {
+// it is sent again for as long as its sender does that. A datagram is not (nil), and is gone.
+func (w *World) carry(by way, after time.Duration, again func() bool, bytes int, arrive func()) (at time.Duration) {
 	l := w.link(by)
 	at = w.now + l.Delay
 	if l.Jitter > 0 {
 		at += time.Duration(w.chance.Float() * float64(l.Jitter))
 	}
 	for l.Loss > 0 && w.chance.Float() < l.Loss {
-		if !again {
+		if again == nil {
 			return at
 		}
 		at += max(l.Resend, time.Millisecond)
 	}
-	if !again && l.Reorder > 0 && w.chance.Float() < l.Reorder {
+	if again == nil && l.Reorder > 0 && w.chance.Float() < l.Reorder {
 		at += time.Duration(w.chance.Float() * float64(l.Late))
 	}
 	if at = max(at, after); l.Rate > 0 && bytes > 0 {
@@ -225,7 +231,7 @@
 	var land func()
 	land = func() {
 		if now := w.link(by); now.Cut {
-			if again {
+			if again != nil && again() {
 				w.at(w.now+max(now.Resend, time.Millisecond), land)
 			}
 			return
@@ -233,7 +239,7 @@
 		arrive()
 	}
 	w.at(at, land)
-	if !again && l.Double > 0 && w.chance.Float() < l.Double {
+	if again == nil && l.Double > 0 && w.chance.Float() < l.Double {
 		w.at(at+time.Duration(w.chance.Float()*float64(max(l.Late, l.Delay))), land)
 	}
 	return at
@@ -246,7 +252,7 @@
 		return
 	}
 	turn := s.last
-	s.last = s.host.world.carry(s.way, turn, true, bytes, func() { arrive(p) })
+	s.last = s.host.world.carry(s.way, turn, always, bytes, func() { arrive(p) })
 	s.last = max(s.last, turn) + 1 // one behind the other
 }
 
@@ -436,7 +442,7 @@
 		return
 	}
 	p := packet{s.at, append([]byte(nil), text...)}
-	h.world.carry(way{road: road{h, to}, from: h, to: place.host}, 0, false, len(text), func() {
+	h.world.carry(way{road: road{h, to}, from: h, to: place.host}, 0, nil, len(text), func() {
 		if o := h.world.places[to]; o != nil && o.kind == datagrams && len(o.packets) < backlog {
 			o.packets = append(o.packets, p)
 			o.touch()
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -241,20 +242,28 @@
 	for _, p := range n.pools {
 		p.Within(connect, idle)
 	}
-	names, sessions, tokened := s.methods()
+	names, sessions, tokened, retired := s.methods()
 	for _, d := range n.doors {
 		switch f := d.front.(type) {
 		case *pgfront.Front:
-			f.Methods(names, sessions, tokened)
-		case *odatafront.Front:
+			asked := slices.Clone(names)
+			for i, gone := range retired {
+				if gone {
+					asked[i] = ""
+				}
+			}
+			f.Methods(asked, sessions, tokened)
+		case *odatafront.Front: // what it offers names none that is retired
 			f.Methods(names)
 		}
 	}
 }
 
-// reloaded takes over what the driver's own files say by now of what needs no restart; what is published goes over it.
+// reloaded takes over what the driver's own files say by now of what needs no restart; what is published goes over it. A version that was
+// refused may go with the files by now.
 func (c *configuration) reloaded(fresh *Site, wants *operator.File) {
 	c.base.memory, c.base.descriptors, c.base.wants = fresh.Memory, fresh.Descriptors, wants
+	c.standing.Refused, c.standing.Why = 0, ""
 	c.limit()
 }
 
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -10,6 +10,7 @@
 
 	"passtack/internal/keep"
 	"passtack/internal/loop/sim"
+	"passtack/internal/operator"
 	"passtack/internal/pcg"
 	"passtack/internal/pgwire"
 	"passtack/internal/rollout"
@@ -229,6 +230,30 @@
 	}
 }
 
+// A version that was refused for the operator's file is taken once that file goes with it.
+func TestAMendedFileTakesWhatWasRefused(t *testing.T) {
+	front := func(method string) string {
+		return fmt.Sprintf("front \"odata\" \"shop\" {\n  listen = \"10.0.0.1:8080\"\n  set \"Items\" {\n    key = \"Id\"\n    groups = [0]\n    property \"Id\" {}\n    operation \"read\" {\n      method = %q\n"+
+			"      statement = \"SELECT doc FROM items WHERE id = {key}\"\n    }\n  }\n}\n", method)
+	}
+	p, c, _ := configured(t, "", front("look"))
+	n := p.drivers[0].node
+	v := c.publish(`{"settings":{"classes":[{"name":"seek","effect":"safe","points":2,"target_us":300000,"hard_limit_us":700000}],"family_info":{"class_read":["loose"]}}}`)
+	if got := n.Configuration(); got.Refused != v {
+		t.Fatalf("%+v", got)
+	}
+	site := *n.site
+	wants, err := operator.Parse([]byte(wantsControls("")+front("seek")), "d0.hcl", site.Listen, []operator.Method{{Name: "seek", Need: "any", Idempotent: true, Soft: time.Second, Limit: time.Second}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.drivers[0].host.Do(func() { n.reload(&site, wants, nil) })
+	p.run(2 * time.Second)
+	if got := n.Configuration(); got.Version != v || got.Refused != 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
 // With a folder a driver begins with the version that was in force, also while nobody tells it; without, with its own file.
 func TestARestartGoesBackBehindNoVersion(t *testing.T) {
 	for _, folder := range []string{t.TempDir(), ""} {
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -31,7 +31,7 @@
 
 // openDoors listens for all fronts that the operator wants, the platform's first.
 func (n *Node) openDoors() error {
-	names, sessions, tokened := n.site.methods()
+	names, sessions, tokened, _ := n.site.methods()
 	open := make(front.Ids)
 	for _, f := range n.wants.Fronts {
 		d := &door{node: n, name: f.Name, number: n.shares.Join(f.Share)}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -125,8 +125,12 @@
 	var methods []operator.Method
 	for i := range int(t.Number("methods.count", 0)) {
 		at := "methods." + strconv.Itoa(i) + "."
+		name := t.Text(at + "name")
+		if t.Yes(at + terms.Retired) {
+			name = ""
+		}
 		methods = append(methods, operator.Method{
-			Name: t.Text(at + "name"), Need: t.Item("family_info.needs", i), Idempotent: t.Text(at+"effect") == "idempotent",
+			Name: name, Need: t.Item("family_info.needs", i), Idempotent: t.Text(at+"effect") == "idempotent",
 			Tokened: t.Text(at+"effect") == "tokened", Window: t.Span(at + "window"), Soft: t.Span(at + "soft_deadline"),
 			Limit: t.Span(at + "limit"),
 		})
@@ -164,21 +168,17 @@
 	return at, nil
 }
 
-// methods gives the names in order, which of them belong to sessions, and which carry a token. Retired ones have none.
-func (s *Site) methods() (names []string, sessions, tokened []bool) {
+// methods gives the names in order, which of them belong to sessions, which carry a token, and which are asked for no more.
+func (s *Site) methods() (names []string, sessions, tokened, retired []bool) {
 	t := terms.New(s.Terms)
 	for i := range int(t.Number("methods.count", 0)) {
 		need := t.Item("family_info.needs", i)
 		at := "methods." + strconv.Itoa(i)
-		name := t.Text(at + ".name")
-		if t.Yes(at + "." + terms.Retired) {
-			name = ""
-		}
-		names = append(names, name)
+		names, retired = append(names, t.Text(at+".name")), append(retired, t.Yes(at+"."+terms.Retired))
 		tokened = append(tokened, t.Text(at+".effect") == "tokened")
 		sessions = append(sessions, need == "session" || need == "write")
 	}
-	return names, sessions, tokened
+	return names, sessions, tokened, retired
 }
 
 // longest is the most that a client waits for an answer.
--- a/internal/rollout/server/guest.go
+++ b/internal/rollout/server/guest.go
@@ -150,13 +150,14 @@
 		return false
 	}
 	s.counts["calls"]++
-	if !s.register.Ahead(c.From) {
+	g.from = max(c.From, c.Refused)
+	if !s.register.Ahead(g.from) { // a number that was refused is not to be used again either
 		s.counts["strangers"]++
-		g.refuse(400, fmt.Sprintf("from is %d: there is no such version", c.From))
+		g.refuse(400, fmt.Sprintf("from is %d: there is no such version", g.from))
 		return false
 	}
 	s.roster.Tell(rollout.Standing{Driver: c.Driver, Version: c.From, Refused: c.Refused, Why: c.Why, Restart: c.Restart}, now)
-	if g.from = max(c.From, c.Refused); g.tell() {
+	if g.tell() {
 		return true
 	}
 	g.holds, g.place.Value = true, g
--- a/internal/rollout/server/server_test.go
+++ b/internal/rollout/server/server_test.go
@@ -276,6 +276,21 @@
 	}
 }
 
+// A version that a driver had, or refused, is above all that machines know which have lost their folders: its number is not used for another text.
+func TestRefusedNumbersAreNotUsedAgain(t *testing.T) {
+	f := newFleet(t)
+	c := f.say((f.writer()+1)%3, request("POST", "/watch", "", `{"fleet":"test","driver":"d0","from":8,"refused":9,"why":"no","hold_ms":2000}`))
+	f.run(500 * time.Millisecond)
+	p := f.say(f.writer(), publish(7, 0, good))
+	f.run(500 * time.Millisecond)
+	if r := p.answer(t); r.Status != 200 || !strings.Contains(string(r.Body), `"version":10`) {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	if r := c.answer(t); r.Status != 200 || r.Fields.Text(VersionField) != "10" {
+		t.Errorf("the driver hears %q", c.said)
+	}
+}
+
 // A disk that does not take what a machine promises keeps that machine from voting, and one such of three is borne.
 func TestADiskThatFails(t *testing.T) {
 	f := newFleet(t)
