--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"math"
 	"os"
 	"path/filepath"
@@ -149,3 +150,32 @@
 		t.Errorf("a broken rows.parquet: %v", err)
 	}
 }
+
+// Series that are too many for one chart are drawn by family of sweeps, and by sweep; each has its place in one.
+func TestChartsHaveFewLines(t *testing.T) {
+	var all []Series
+	for _, sweep := range []string{"view", "view-cut", "list", "primary-death", "primary-hang"} {
+		for n := range 5 {
+			if sweep[0] == 'p' {
+				n += 10
+			}
+			all = append(all, Series{Sweep: sweep, Measure: fmt.Sprint("m", n)})
+		}
+	}
+	for range 8 {
+		all = append(all, Series{Sweep: "primary-hang", Measure: "more"})
+	}
+	sum := 0
+	parts := split(all)
+	for name, some := range parts {
+		if sum += len(some); len(some) > mostLines+1 {
+			t.Errorf("%q has %d lines", name, len(some))
+		}
+	}
+	if sum != len(all) || len(parts) != 4 || len(parts["-view"]) != 10 || len(parts["-primary-death"]) != 5 {
+		t.Errorf("%d of %d series in %d charts", sum, len(all), len(parts))
+	}
+	if few := split(all[:mostLines]); len(few) != 1 || len(few[""]) != mostLines {
+		t.Errorf("few lines are in %d charts", len(few))
+	}
+}
