Rig: the loop does not wait for the end of a process that it kills

The RPCs concerned (r918 to r948, sent at 3.0 s with a limit of 2 s) were due at 5.0 s, the moment at which five drivers are killed: strike waited for each process's end on the loop that carries all members, clients and relays. How long an exit took was not measured. Control machines are ended the same way.

--- a/internal/emu/rig/controls.go
+++ b/internal/emu/rig/controls.go
@@ -113,16 +113,17 @@
 		return
 	}
 	m.process.Process.Kill()
-	<-m.ended
-	f.loop.At(back, func() {
-		f.noteOf(m.name, "starts")
-		err := f.folders.TreatControl(m.number, t.Folder)
-		if err == nil {
-			err = f.control(m)
-		}
-		if err != nil {
-			f.fail("control machine %s: %w", m.name, err)
-		}
+	f.once(m.ended, func() {
+		f.loop.At(back, func() {
+			f.noteOf(m.name, "starts")
+			err := f.folders.TreatControl(m.number, t.Folder)
+			if err == nil {
+				err = f.control(m)
+			}
+			if err != nil {
+				f.fail("control machine %s: %w", m.name, err)
+			}
+		})
 	})
 }
 
--- a/internal/emu/rig/rig.go
+++ b/internal/emu/rig/rig.go
@@ -555,8 +555,7 @@
 	d.running = false
 	if how == "driver_kill" {
 		d.process.Process.Kill()
-		<-d.answered
-		f.again(d, folder, back)
+		f.once(d.answered, func() { f.again(d, folder, back) })
 		return
 	}
 	d.process.Process.Signal(syscall.SIGTERM)
@@ -566,17 +565,21 @@
 			f.fail("driver %s does not end though it was told to", d.name)
 		}
 	})
-	var look func()
-	look = func() {
-		select {
-		case <-ended:
-			f.note(d, "ended")
-			f.again(d, folder, f.loop.Now()+lasts)
-		default:
-			f.loop.At(f.loop.Now()+10*time.Millisecond, look)
-		}
+	f.once(ended, func() {
+		f.note(d, "ended")
+		f.again(d, folder, f.loop.Now()+lasts)
+	})
+}
+
+// once acts when a process has ended. The loop does not wait for that: all members, clients and roads of the play are on it, and an exit that takes
+// its time would stall what has a deadline just then.
+func (f *fleet) once(ended chan struct{}, act func()) {
+	select {
+	case <-ended:
+		act()
+	default:
+		f.loop.At(f.loop.Now()+10*time.Millisecond, func() { f.once(ended, act) })
 	}
-	look()
 }
 
 // again starts a driver that has ended.
