--- a/internal/emu/play/clients.go
+++ b/internal/emu/play/clients.go
@@ -46,6 +46,16 @@
 	token   string
 	began   time.Duration
 	tries   int
+	mayRun  bool // an earlier try may have run
+}
+
+// rest is how much of its time an RPC has left for a try at that time. What may have run is asked for again only while its group surely knows the
+// token, with time for what is on its way.
+func (w *wish) rest(at time.Duration) time.Duration {
+	if w.mayRun && w.method.Effect == emu.Tokened {
+		return min(w.method.Limit, w.began+w.method.Window-onItsWay-at)
+	}
+	return w.method.Limit
 }
 
 // line is one connection to a driver.
@@ -67,6 +77,11 @@
 	again   bool // what it asks was asked before on one that ended
 }
 
+const (
+	onItsWay = 150 * time.Millisecond // that an attempt may arrive after the time in which it was sent
+	least    = 100 * time.Millisecond // a client does not ask with less time
+)
+
 // late is how much longer than its time a client waits for an answer.
 const late = 20 * time.Millisecond
 
@@ -239,7 +254,8 @@
 		w.token = "t" + l.id
 	}
 	key := fmt.Sprintf("s%d", w.session)
-	text := fmt.Sprintf("/* id=%s,c=%s,d=%d", l.id, m.Name, m.Limit/time.Millisecond)
+	limit := w.rest(now).Truncate(time.Millisecond)
+	text := fmt.Sprintf("/* id=%s,c=%s,d=%d", l.id, m.Name, limit/time.Millisecond)
 	if w.token != "" {
 		text += ",k=" + w.token
 	}
@@ -254,9 +270,9 @@
 	if m.Need == "write" {
 		text = text[:len(text)-len("SELECT doc FROM items WHERE id = '"+key+"'")] + "INSERT INTO items (id, doc) VALUES ('" + key + "', 'x') RETURNING doc"
 	}
-	c.record.Asked(l.id, w.token, fmt.Sprint("d", l.to), m.Effect, now, now+m.Limit)
+	c.record.Asked(l.id, w.token, fmt.Sprint("d", l.to), m.Effect, now, now+limit)
 	l.text = append(append(pgwire.AppendHead(nil, 'Q', len(text)+1), text...), 0)
-	l.send(now + m.Limit + late)
+	l.send(now + limit + late)
 }
 
 func (l *line) send(until time.Duration) {
@@ -266,13 +282,14 @@
 	l.due = l.clients.loop.At(until, func() {
 		l.stream.Close()
 		l.closed = true
-		l.lost()
+		l.lost(false)
 	})
 }
 
-// onceMore sends what crossed the end of a connection that had rested on a new one: the driver may not have read it.
+// onceMore sends what crossed the end of a connection that had rested on a new one: the driver may not have read it. It may have, too, so that this is
+// not for what must not run twice.
 func (l *line) onceMore() bool {
-	if l.wish == nil || l.asked < 2 || l.again || l.heard != "" {
+	if l.wish == nil || l.asked < 2 || l.again || l.heard != "" || l.wish.method.Effect == emu.NonIdempotent {
 		return false
 	}
 	c := l.clients
@@ -281,6 +298,7 @@
 		return false
 	}
 	c.loop.Forget(l.due)
+	l.wish.mayRun = true
 	n.wish, n.id, n.text, n.again = l.wish, l.id, l.text, true
 	l.wish = nil
 	n.send(l.until)
@@ -322,17 +340,19 @@
 			c.home[w.session] = (l.to + 1 + c.chance.Below(max(len(c.drivers)-1, 1))) % len(c.drivers)
 		}
 	}
-	if w.tries > c.script.Retries || w.method.Effect == emu.NonIdempotent && (answer == emu.Aborted || answer == emu.Nothing) {
-		return
-	}
-	if w.method.Effect == emu.Tokened && answer != emu.PushedBack && answer != emu.NotTaken && now-w.began > w.method.Window/2 { // its group may forget it
+	w.mayRun = w.mayRun || answer != emu.PushedBack && l.let
+	if w.tries > c.script.Retries || w.mayRun && w.method.Effect == emu.NonIdempotent {
 		return
 	}
 	wait := 100*time.Millisecond + time.Duration(c.chance.Below(200))*time.Millisecond
 	if c.script.Obeys {
 		wait = max(wait, l.back)
 	}
-	c.loop.At(now+wait, func() { c.ask(w) })
+	c.loop.At(now+wait, func() {
+		if w.rest(c.loop.Now()) >= least {
+			c.ask(w)
+		}
+	})
 }
 
 func (l *line) Opened()              {}
@@ -343,13 +363,12 @@
 	if l.onceMore() {
 		return
 	}
-	l.let = l.let && l.asked > 1 // the first one on a connection that ends was not taken
-	l.lost()
+	l.lost(true)
 }
 
-// lost ends a try without an answer.
-func (l *line) lost() {
-	if l.let {
+// lost ends a try without an answer. The first one on a connection that the driver closes is not taken for one that it has to answer, though it may have run.
+func (l *line) lost(shut bool) {
+	if l.let && !(shut && l.asked == 1) {
 		l.done(emu.Nothing)
 	} else {
 		l.done(emu.NotTaken)
--- a/internal/emu/record.go
+++ b/internal/emu/record.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -201,7 +202,7 @@
 	}
 	for _, token := range slices.Sorted(keysOf(r.tokens)) {
 		if n := r.tokens[token]; n > 1 {
-			say(2, "token %s had %d effects", token, n)
+			say(2, "token %s had %d effects:%s", token, n, r.triesOf(token))
 		}
 	}
 	for _, c := range r.arrivals {
@@ -222,6 +223,17 @@
 	return broken
 }
 
+// triesOf tells of each try with a token how it went.
+func (r *Record) triesOf(token string) string {
+	var text strings.Builder
+	for _, a := range r.order {
+		if a.token == token {
+			fmt.Fprintf(&text, " %s by %s from %v to %v, heard %s, %d effects;", a.id, a.driver, a.at, a.heard, strings.Join(a.answers, " and "), a.effects)
+		}
+	}
+	return strings.TrimSuffix(text.String(), ";")
+}
+
 func keysOf(m map[string]int) func(func(string) bool) {
 	return func(yield func(string) bool) {
 		for k := range m {
