Rig: processes start beside the loop, on which all members and clients are

Seen: ten drivers that start together held the rig's loop up for 280 to 420 ms (each start 5 to 58 ms, three plays at once, 8 cores); tries that should have gone 200 ms apart went in the same moment, and TestFleetComesBack/halves had "no answer before its time is up" in 2 of 4 plays, for RPCs whose time ended while five drivers were started. At fault: fleet.start and fleet.control, which waited for the fork and the exec of each process on the loop.

Change: internal/emu/rig/process.go starts a process from a goroutine of its own; signals sent before it has started reach it then, in order. A control machine that ends by itself fails the play as a driver's end does, and one that is killed twice is not started twice.

--- a/internal/emu/rig/controls.go
+++ b/internal/emu/rig/controls.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -29,8 +28,9 @@
 	name    string
 	at      netip.AddrPort
 	file    string
-	process *exec.Cmd
-	ended   chan struct{}
+	process *process
+	life    int  // counts processes
+	running bool // and not told to end
 }
 
 // controlMachines gives each control machine an address and writes its file, and lays the roads to them.
@@ -79,41 +79,33 @@
 
 // control starts a control machine.
 func (f *fleet) control(m *machine) error {
-	c := exec.Command(f.program, "control", "--operator", m.file)
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	log, err := c.StderrPipe()
-	if err != nil {
-		return err
-	}
-	if err := c.Start(); err != nil {
-		return err
-	}
-	m.process, m.ended = c, make(chan struct{})
-	ended := m.ended
-	f.readers.Go(func() {
-		defer close(ended)
-		lines := bufio.NewScanner(log)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			f.said <- said{machine: m, line: lines.Text()}
-			f.loop.Ring()
-		}
-		c.Wait()
+	var err error
+	m.life++
+	life := m.life
+	m.process, err = f.run(exec.Command(f.program, "control", "--operator", m.file), func(s said) {
+		s.machine, s.life = m, life
+		f.said <- s
+		f.loop.Ring()
 	})
-	return nil
+	m.running = err == nil
+	return err
 }
 
 // strikeControl ends or stops a control machine, which goes on then.
 func (f *fleet) strikeControl(m *machine, t play.Trouble, back time.Duration) {
 	f.noteOf(m.name, "%s %s", t.Kind, t.Folder)
 	if t.Kind == "control_pause" {
-		m.process.Process.Signal(syscall.SIGSTOP)
+		m.process.signal(syscall.SIGSTOP)
 		process := m.process
-		f.loop.At(back, func() { process.Process.Signal(syscall.SIGCONT) })
+		f.loop.At(back, func() { process.signal(syscall.SIGCONT) })
+		return
+	}
+	if !m.running {
 		return
 	}
-	m.process.Process.Kill()
-	f.once(m.ended, func() {
+	m.running = false
+	m.process.signal(syscall.SIGKILL)
+	f.once(m.process.ended, func() {
 		f.loop.At(back, func() {
 			f.noteOf(m.name, "starts")
 			err := f.folders.TreatControl(m.number, t.Folder)
@@ -137,6 +129,12 @@
 		f.noteOf(s.publisher, "%s", s.line)
 		return
 	}
+	if s.ended {
+		if s.life == s.machine.life && s.machine.running {
+			f.fail("control machine %s ended by itself: %v", s.machine.name, s.cause)
+		}
+		return
+	}
 	fmt.Fprintln(f.log, s.machine.name, s.line)
 	if strings.Contains(s.line, "level=ERROR") {
 		f.fail("control machine %s: %s", s.machine.name, s.line)
--- a/internal/emu/rig/rig.go
+++ b/internal/emu/rig/rig.go
@@ -1,7 +1,6 @@
 package rig
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -30,16 +29,15 @@
 
 // driver is one process, and what it is started with.
 type driver struct {
-	number   int
-	name     string
-	told     play.Told
-	program  string
-	process  *exec.Cmd
-	life     int  // counts processes
-	running  bool // and not told to end
-	serves   bool // it has said that it has started
-	behind   netip.AddrPort
-	answered chan struct{}
+	number  int
+	name    string
+	told    play.Told
+	program string
+	process *process
+	life    int  // counts processes
+	running bool // and not told to end
+	serves  bool // it has said that it has started
+	behind  netip.AddrPort
 }
 
 // said is a line of a driver's log, or its end; or a line of a control machine's, or of a publisher.
@@ -311,7 +309,8 @@
 	d.life++
 	d.told.Seed, d.told.Known = f.seed*1000003+f.starts, f.cluster.Known(d.number)
 	at := filepath.Join(f.folder, d.name+".json")
-	if err := os.WriteFile(at, f.script.SiteJSON(d.told), 0o600); err != nil {
+	err := os.WriteFile(at, f.script.SiteJSON(d.told), 0o600)
+	if err != nil {
 		return err
 	}
 	args := []string{"serve", "--site", at}
@@ -325,44 +324,28 @@
 	case f.script.Operator != "":
 		args = append(args, "--operator", f.script.Operator)
 	}
-	c := exec.Command(d.program, args...)
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	log, err := c.StderrPipe()
-	if err != nil {
-		return err
-	}
-	if err := c.Start(); err != nil {
-		return err
-	}
-	d.process, d.running, d.serves, d.answered = c, true, false, make(chan struct{})
-	life, ended := d.life, d.answered
-	f.readers.Go(func() {
-		lines := bufio.NewScanner(log)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			f.said <- said{driver: d, life: life, line: lines.Text()}
-			f.loop.Ring()
-		}
-		cause := c.Wait()
-		close(ended)
-		f.said <- said{driver: d, life: life, ended: true, cause: cause}
+	life := d.life
+	d.process, err = f.run(exec.Command(d.program, args...), func(s said) {
+		s.driver, s.life = d, life
+		f.said <- s
 		f.loop.Ring()
 	})
-	return nil
+	d.running, d.serves = err == nil, false
+	return err
 }
 
 // stop ends all processes that still run, and waits until nobody rings the loop any more.
 func (f *fleet) stop() {
 	for _, d := range f.drivers {
 		if d.process != nil {
-			d.process.Process.Signal(syscall.SIGCONT)
-			d.process.Process.Kill()
+			d.process.signal(syscall.SIGCONT)
+			d.process.signal(syscall.SIGKILL)
 		}
 	}
 	for _, m := range f.machines {
 		if m.process != nil {
-			m.process.Process.Signal(syscall.SIGCONT)
-			m.process.Process.Kill()
+			m.process.signal(syscall.SIGCONT)
+			m.process.signal(syscall.SIGKILL)
 		}
 	}
 	over := make(chan struct{})
@@ -516,7 +499,7 @@
 				f.fail("driver %s: %w", d.name, err)
 			}
 			if d.running && d.serves {
-				d.process.Process.Signal(syscall.SIGHUP)
+				d.process.signal(syscall.SIGHUP)
 			}
 		}
 		f.cluster.Course.Note(f.loop.Now()-f.began, "script", "voters %v, before %v, version %d", by.Voters, by.Former, by.Version)
@@ -535,11 +518,11 @@
 		return
 	}
 	if how == "driver_pause" {
-		d.process.Process.Signal(syscall.SIGSTOP)
+		d.process.signal(syscall.SIGSTOP)
 		life := d.life
 		f.loop.At(back, func() {
 			if d.life == life { // also where it was told to end meanwhile
-				d.process.Process.Signal(syscall.SIGCONT)
+				d.process.signal(syscall.SIGCONT)
 			}
 			if d.life == life && d.running {
 				f.falls.Back(d.number, f.loop.Now()-f.began)
@@ -554,12 +537,12 @@
 	f.clients.Died(d.number)
 	d.running = false
 	if how == "driver_kill" {
-		d.process.Process.Kill()
-		f.once(d.answered, func() { f.again(d, folder, back) })
+		d.process.signal(syscall.SIGKILL)
+		f.once(d.process.ended, func() { f.again(d, folder, back) })
 		return
 	}
-	d.process.Process.Signal(syscall.SIGTERM)
-	life, ended, lasts := d.life, d.answered, back-now
+	d.process.signal(syscall.SIGTERM)
+	life, ended, lasts := d.life, d.process.ended, back-now
 	f.loop.At(now+mostEnd, func() {
 		if d.life == life && !d.running {
 			f.fail("driver %s does not end though it was told to", d.name)
