Leases: sixteen stand in line, the others rest, so voters get little more in a larger fleet

Cause: voters kept 64 in line and told all beyond them to come again within a lease and 3 s (vote.wait in internal/lease/voter.go), an asker cut any wait to two leases, and each question in vain was given back to all voters, of which those that had refused have nothing to get back (Asker.giveUp).

Change: 16 in line; whoever finds it full rests, by chance between 10 and 20 leases. What counts of refusals is the time that a majority told, where it was the longest of all: a voter that has just started held everybody up. A question in vain is given back to those that did not refuse. No promise and no number is handled otherwise; TestNoTwoHold* and the search over orders are as they were, but for how a refusal is kept.

--- a/internal/lease/asker.go
+++ b/internal/lease/asker.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,9 +21,31 @@
 	term   uint64 // fencing number
 	sent   time.Duration
 	yes    []Node
-	no     []Node
-	over   bool
-	wait   time.Duration // longest that a refusal told
+	no     []refusal
+}
+
+// refusal is a voter's, with the wait that it told.
+type refusal struct {
+	by   Node
+	wait time.Duration
+}
+
+// refused tells whether a voter has refused, and told no longer wait than that.
+func (r *round) refused(most time.Duration) func(Node) bool {
+	return func(n Node) bool {
+		return slices.ContainsFunc(r.no, func(o refusal) bool { return o.by == n && o.wait <= most })
+	}
+}
+
+// wait is when a majority may be free: the shortest that a majority told, or the longest of fewer.
+func (r *round) wait(set Set) (wait time.Duration) {
+	slices.SortFunc(r.no, func(a, b refusal) int { return cmp.Compare(a.wait, b.wait) })
+	for _, o := range r.no {
+		if wait = o.wait; set.majority(r.refused(wait)) {
+			break
+		}
+	}
+	return wait
 }
 
 const (
@@ -30,6 +53,7 @@
 	answers    = 300 * time.Millisecond // for which the answers to a question in vain are waited for
 	leastWait  = 100 * time.Millisecond // between two questions in vain; it doubles up to a lease
 	renewals   = 3                      // in a lease
+	rests      = 20                     // leases that who finds the line full waits at most
 )
 
 // Asker wants one lease for its driver.
@@ -74,7 +98,7 @@
 func (a *Asker) Leave(now time.Duration) {
 	a.wants = false
 	a.lose(now)
-	a.release(a.latest())
+	a.release(a.latest(), nobody)
 	a.rounds, a.judge = nil, 0
 }
 
@@ -91,12 +115,19 @@
 	return a.rounds[len(a.rounds)-1].term
 }
 
-// release gives a term back to all voters.
-func (a *Asker) release(term uint64) {
+const forever = time.Duration(1<<63 - 1)
+
+func nobody(Node) bool { return false }
+
+// release gives a term back to all voters but some.
+func (a *Asker) release(term uint64, but func(Node) bool) {
 	if term == 0 {
 		return
 	}
 	for _, n := range a.set.All() {
+		if but(n) {
+			continue
+		}
 		a.host.Send(n, Message{Op: Release, Lease: a.name, Version: a.set.Version, Number: term, Holder: a.me})
 	}
 }
@@ -109,7 +140,7 @@
 	a.term, a.end, a.rounds, a.judge = 0, 0, nil, 0
 	a.next = now + a.jitter(leastWait)
 	a.host.Lost(a.name, term)
-	a.release(term)
+	a.release(term, nobody)
 }
 
 func (a *Asker) jitter(most time.Duration) time.Duration {
@@ -193,9 +224,9 @@
 		delete(a.why, from)
 		r.yes = append(r.yes, from)
 		a.granted(r, now)
-	case m.Op == Refuse && !slices.Contains(r.no, from):
-		r.no, r.wait = append(r.no, from), max(r.wait, m.Lasts)
-		if a.term == 0 && a.judge != 0 && i == len(a.rounds)-1 && !a.set.possible(func(n Node) bool { return slices.Contains(r.no, n) }) {
+	case m.Op == Refuse && !r.refused(forever)(from):
+		r.no = append(r.no, refusal{from, m.Lasts})
+		if a.term == 0 && a.judge != 0 && i == len(a.rounds)-1 && !a.set.possible(r.refused(forever)) {
 			a.giveUp(now)
 		}
 	}
@@ -229,12 +260,16 @@
 	a.judge = 0
 	a.vain++
 	wait := min(leastWait<<min(a.vain, 10), a.lasts)
-	wait = max(r.wait, wait/2+a.jitter(wait))
-	if len(r.no) > 0 && r.wait > 0 { // who is told when has its place among those who wait
-		wait = r.wait + a.jitter(spacing)
+	wait = wait/2 + a.jitter(wait)
+	switch told := r.wait(a.set); {
+	case told > 2*a.lasts: // there is no place in line: those who rest come one by one
+		wait = min(told, rests*a.lasts)
+		wait = wait/2 + a.jitter(wait/2)
+	case told > 0: // it has its place in line
+		wait = told + a.jitter(spacing)
 	}
-	a.next = now + min(wait, 2*a.lasts)
-	a.release(r.term)
+	a.next = now + wait
+	a.release(r.term, r.refused(forever)) // who refused has nothing to get back
 	a.rounds = nil
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -253,3 +253,67 @@
 		}
 	})
 }
+
+// Who finds the line full rests, so that voters get little more in a larger fleet; and should all in line go with the holder, one who rests asks soon.
+func TestAFullLineGoneWithTheHolderIsNoGap(t *testing.T) {
+	set := Set{Version: 1, Voters: []Node{1, 2, 3, 4, 5}}
+	for seed := range uint64(10) {
+		w := newWorld(seed+40, 60, set, false)
+		w.run(w.now + 80*lasts)
+		asks := 0
+		for _, d := range w.drivers {
+			asks += int(d.asker.round)
+		}
+		w.run(w.now + 20*lasts)
+		for _, d := range w.drivers {
+			asks -= int(d.asker.round)
+		}
+		if each := -asks / 20; each > 25 {
+			t.Errorf("seed %d: %d questions in a lease", seed, each)
+		}
+		for w.holder() == nil {
+			w.run(w.now + 20*ms)
+		}
+		gone := map[Node]bool{w.holder().name: true}
+		for _, n := range set.Voters {
+			waiting := w.drivers[n-1].voter.votes["x"].waiting
+			if len(waiting) != mostWaiting {
+				t.Errorf("seed %d: %d are in line at voter %d", seed, len(waiting), n)
+			}
+			for _, o := range waiting {
+				gone[o.holder.Node] = true
+			}
+		}
+		if len(gone) > 30 {
+			t.Errorf("seed %d: voters have %d in line, in all", seed, len(gone))
+		}
+		for n := range gone {
+			if d := w.drivers[n-1]; n <= 5 { // a voter stays, and wants it no more
+				d.soon(func() { d.asker.Leave(d.clock()) })
+			} else {
+				d.kill()
+			}
+		}
+		from := w.now
+		for w.run(w.now + 20*ms); w.holder() == nil && w.now < from+time.Minute; w.run(w.now + 20*ms) {
+		}
+		if took := w.now - from; took > lasts+5*time.Second {
+			t.Errorf("seed %d: nobody holds for %v", seed, took)
+		}
+		if len(w.broken) > 0 {
+			t.Errorf("seed %d: %v", seed, w.broken[0])
+		}
+	}
+}
+
+// holder is who holds, nil: nobody.
+func (w *world) holder() *simulated {
+	for _, d := range w.drivers {
+		if d.up {
+			if _, ok := d.asker.Held(d.clock()); ok {
+				return d
+			}
+		}
+	}
+	return nil
+}
--- a/internal/lease/voter.go
+++ b/internal/lease/voter.go
@@ -36,7 +36,7 @@
 
 const (
 	mostLeases  = 64
-	mostWaiting = 64
+	mostWaiting = 16                    // that stand in line; whoever asks beyond them is told to rest, so that what voters get grows little with the fleet
 	patience    = 3 * time.Second       // for which who does not ask again in time keeps its place
 	spacing     = 50 * time.Millisecond // between the times that two who wait are told
 )
@@ -111,7 +111,7 @@
 	case m.Version < v.adopted:
 		v.refuse(t, m, Older, v.longest)
 	case bound:
-		v.refuse(t, m, Held, t.wait(m.Holder, now))
+		v.refuse(t, m, Held, t.wait(m, now))
 	case plant != reusesNumber && (m.Number < t.promise.Number || m.Number == t.promise.Number && !mine):
 		v.refuse(t, m, Lower, 0)
 	default:
@@ -145,13 +145,15 @@
 	v.host.Send(m.Holder.Node, Message{Op: Refuse, Why: why, Lease: m.Lease, Version: v.adopted, Round: m.Round, Number: t.promise.Number, Lasts: wait, Holder: t.holder})
 }
 
-// wait gives a place among those who wait, and tells when its turn comes.
-func (t *vote) wait(h Holder, now time.Duration) time.Duration {
+// wait gives a place in line, and tells when its turn comes. Where the line is full it tells to rest: should all in line be gone with the holder, the
+// next of the many who rest asks soon, and finds the lease free.
+func (t *vote) wait(m Message, now time.Duration) time.Duration {
+	h := m.Holder
 	t.waiting = slices.DeleteFunc(t.waiting, func(w waiter) bool { return w.holder != h && now > w.told+patience })
 	place := slices.IndexFunc(t.waiting, func(w waiter) bool { return w.holder == h })
 	if place < 0 {
 		if len(t.waiting) >= mostWaiting {
-			return t.until - now + patience
+			return t.until - now + rests*m.Lasts
 		}
 		place = len(t.waiting)
 		t.waiting = append(t.waiting, waiter{holder: h})
