View: a pull brings four messages at most, so that no change of many costs over 5 KB/s

Seen (simulated, two regions): until all knew of a region that was lost the worst of 235 and 470 drivers spent 8.5 and 17 KB/s, and 18 and 21 KB/s until all knew of one that was back. Cause: View.given went on from part to part of what differed until nothing was left, once a second.

Change: after four messages a pull rests for a question's time, and the next goes on behind them, with whoever is next.

TestHalvesThatComeAndGoStayWithinTheBudget fails without it (16 KB/s).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -97,6 +97,7 @@
 	mostNodes  = 4096
 	longest    = 24 // bytes of a name
 
+	partsMost = 4 // messages that one pull brings; the next goes on behind them
 	rangeBits = 7 // the first bits of a driver's number tell its range
 	ranges    = 1 << rangeBits
 )
@@ -149,6 +150,7 @@
 		from  driver.Peer
 		after Node
 		sent  time.Duration // 0: none is out
+		parts int           // that it has brought
 	}
 	pulled time.Duration
 	found  bool // a stranger has answered: there may be more
@@ -672,7 +674,7 @@
 	if p.sent != 0 && now-p.sent < v.terms.Every || now-v.pulled < v.terms.Every {
 		return
 	}
-	p.from, p.sent = from, now // what was lost on the way is asked for again, of whoever it is
+	p.from, p.sent, p.parts = from, now, 0 // what was lost on the way is asked for again, of whoever it is
 	v.askPart(from)
 }
 
@@ -727,6 +729,10 @@
 		return
 	}
 	p.after, p.sent = m.entries[len(m.entries)-1].Node, now
+	if p.parts++; p.parts >= partsMost {
+		p.sent, v.pulled = 0, now
+		return
+	}
 	v.askPart(from)
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -551,3 +551,32 @@
 		t.Errorf("after %v: %s", healed, w.settled())
 	}
 }
+
+// Where half of all that is known changes at once, as regions lose and find each other, no driver spends more than 5 KB a second on it.
+func TestHalvesThatComeAndGoStayWithinTheBudget(t *testing.T) {
+	t.Parallel()
+	w := newWorld(15, 160)
+	w.startAll(time.Second)
+	w.run(2 * time.Minute)
+	for _, what := range []string{"lose", "find"} {
+		for _, h := range w.all {
+			h.bytes, h.taken = 0, 0
+		}
+		if w.cut = nil; what == "lose" {
+			w.cut = func(a, b int) bool { return (a < 80) != (b < 80) }
+		}
+		from := w.now
+		w.run(20 * time.Second)
+		for alone := what == "lose"; w.now < from+2*time.Minute && !(alone && w.all[0].view.Living() == 80 && w.all[159].view.Living() == 80 || !alone && w.settled() == ""); {
+			w.run(time.Second)
+		}
+		worst := 0.0
+		for _, h := range w.all {
+			worst = max(worst, float64(h.bytes+h.taken)/(w.now-from).Seconds())
+		}
+		t.Logf("as halves %s each other, for %v: %.0f bytes a second at the worst", what, w.now-from, worst)
+		if worst > 5000 {
+			t.Errorf("as halves %s each other: %.0f bytes a second at the worst", what, worst)
+		}
+	}
+}
