--- a/internal/lab/capacity/leases.go
+++ b/internal/lab/capacity/leases.go
@@ -13,6 +13,10 @@
 		Name: "leases", Axis: Drivers, Sizes: DriverSizes, Play: playLeases,
 		About: hollowLeaves + " Five voters among the drivers, without folders; all ask for the one lease, of 5 s, whose holder watches discovery for all. No view. " +
 			"Counted over 60 s from 30 s on; the holder is killed three times, 20 s apart. A word to all at once counts once for its sender.",
+	}, {
+		Name: "leases-regions", Axis: Drivers, Sizes: DriverSizes, Play: playLeasesInRegions,
+		About: hollowLeaves + " The same with a view, in two regions 30 ms apart one way, of 4 and 3 zones; four of the five voters are in the first. Counted over 60 s from 30 s on. Holders of the first region are killed and started " +
+			"again until one of the second holds; then the regions lose each other for a minute and find each other again, and a member drains of which discovery tells one driver. Who holds is looked at every 10 ms.",
 	}}
 }
 
@@ -35,6 +39,16 @@
 	return -1
 }
 
+// held counts those that hold the lease.
+func (f *hollow) held() (count int) {
+	for _, n := range f.nodes {
+		if n != nil && n.Counted("leases_gained") > n.Counted("leases_lost") {
+			count++
+		}
+	}
+	return count
+}
+
 // holds waits for a holder and gives how long that took, in seconds.
 func (f *hollow) holds(most time.Duration) (float64, error) {
 	for from := f.world.Now(); f.world.Now() < from+most; {
@@ -139,3 +153,115 @@
 	one("new_holder_worst", "s until another holds, worst of three", worst(took))
 	return nil
 }
+
+func playLeasesInRegions(stop context.Context, size int, seed uint64, point func(Point)) error {
+	p := Point{Drivers: int64(size), Members: few, How: "simulated"}
+	one := func(measure, unit string, value float64) {
+		p.Measure, p.Unit, p.Value = measure, unit, value
+		point(p)
+	}
+	f, err := newHollow(stop, size, seed, leaseWants+viewWants)
+	if err != nil {
+		return err
+	}
+	apart := false
+	f.inRegions(&apart)
+	if err := f.startAll(); err != nil {
+		return err
+	}
+	if _, err := f.holds(time.Minute); err != nil {
+		return err
+	}
+	if err := f.run(30 * time.Second); err != nil {
+		return err
+	}
+	// spent tells what the worst voter spends over a minute from now on, and how often the fleet asks for the list
+	spent := func(during string) error {
+		f.forget()
+		const lasts = time.Minute
+		if err := f.run(lasts); err != nil {
+			return err
+		}
+		var bytes []float64
+		calls := 0
+		for i := range f.sent {
+			_, b := f.sent[i].of(peers.Hello, peers.Lease)
+			_, c := f.crowds[i].of(peers.Hello, peers.Lease)
+			_, t := f.taken[i].of(peers.Hello, peers.Lease)
+			if i < voters {
+				bytes = append(bytes, (b+c+t)/lasts.Seconds())
+			}
+			calls += f.agents[i].calls
+		}
+		one(during+"_voter_bytes", "B/s of the worst voter, sent and taken", worst(bytes))
+		one(during+"_list_calls", "calls/s of the fleet", float64(calls)/lasts.Seconds())
+		return nil
+	}
+	if err := spent("together"); err != nil {
+		return err
+	}
+	kills := 0
+	for regionOf(f.holder()) != 1 {
+		if kills++; kills > 40 {
+			return fmt.Errorf("after %d kills no driver of the second region holds", kills)
+		}
+		gone := f.holder()
+		f.kill(gone)
+		if _, err := f.holds(time.Minute); err != nil {
+			return err
+		}
+		if err := f.start(gone); err != nil {
+			return err
+		}
+		if err := f.run(11 * time.Second); err != nil { // a voter that has started is silent for ten
+			return err
+		}
+		if f.holder() < 0 {
+			if _, err := f.holds(time.Minute); err != nil {
+				return err
+			}
+		}
+	}
+	apart = true
+	from, twice, moved := f.world.Now(), 0, -1.0
+	for f.world.Now() < from+20*time.Second {
+		if err := f.run(10 * time.Millisecond); err != nil {
+			return err
+		}
+		if f.held() > 1 {
+			twice++
+		}
+		if h := f.holder(); moved < 0 && h >= 0 && regionOf(h) == 0 {
+			moved = (f.world.Now() - from).Seconds()
+		}
+	}
+	if moved < 0 {
+		return fmt.Errorf("with the regions apart for 20 s nobody of the first holds")
+	}
+	one("apart_new_holder", "s until one of the majority's region holds", moved)
+	if err := spent("apart"); err != nil {
+		return err
+	}
+	apart = false
+	f.forget()
+	from = f.world.Now()
+	for f.world.Now() < from+20*time.Second {
+		if err := f.run(10 * time.Millisecond); err != nil {
+			return err
+		}
+		if f.held() > 1 {
+			twice++
+		}
+	}
+	one("two_hold", "times of 4,000 looks", float64(twice))
+	if err := f.run(2 * time.Minute); err != nil {
+		return err
+	}
+	f.agents[0].discovery.drain(0, f.agents[1])
+	when, never, err := f.until(20*time.Second, 5*time.Millisecond, func(i int) bool { return i == 1 || f.nodes[i].Counted("drains_heard") > 0 })
+	if err != nil {
+		return err
+	}
+	one("drain_not_heard", "drivers that no other tells: their own list does", float64(never))
+	return times(point, p, "drain_known", when, 0)
+}
--- a/internal/lab/capacity/views.go
+++ b/internal/lab/capacity/views.go
@@ -212,17 +212,8 @@
 	return 1
 }
 
-func playRegions(stop context.Context, size int, seed uint64, point func(Point)) error {
-	p := Point{Drivers: int64(size), Members: few, How: "simulated"}
-	one := func(measure, unit string, value float64) {
-		p.Measure, p.Unit, p.Value = measure, unit, value
-		point(p)
-	}
-	f, err := newHollow(stop, size, seed, viewWants)
-	if err != nil {
-		return err
-	}
-	apart := false
+// inRegions lays the links of two regions of zones, which lose each other while apart holds.
+func (f *hollow) inRegions(apart *bool) {
 	f.world.Between = func(from, to *sim.Host) (sim.Link, bool) {
 		a, known := f.numbers[from]
 		b, both := f.numbers[to]
@@ -232,12 +223,26 @@
 		l := sim.Plain
 		switch {
 		case regionOf(a) != regionOf(b):
-			l.Delay, l.Jitter, l.Cut = 30*time.Millisecond, 3*time.Millisecond, apart
+			l.Delay, l.Jitter, l.Cut = 30*time.Millisecond, 3*time.Millisecond, *apart
 		case a%zones != b%zones:
 			l.Delay = 700 * time.Microsecond
 		}
 		return l, true
 	}
+}
+
+func playRegions(stop context.Context, size int, seed uint64, point func(Point)) error {
+	p := Point{Drivers: int64(size), Members: few, How: "simulated"}
+	one := func(measure, unit string, value float64) {
+		p.Measure, p.Unit, p.Value = measure, unit, value
+		point(p)
+	}
+	f, err := newHollow(stop, size, seed, viewWants)
+	if err != nil {
+		return err
+	}
+	apart := false
+	f.inRegions(&apart)
 	if err := f.startAll(); err != nil {
 		return err
 	}
