Read once more: what earned nothing goes, what no test held gets one

A driver that says that it leaves no longer counts as a stranger found. One function gives numbers of questions, in place of three ways. - Without a test that fails without it: only voters that did not refuse are given back to; a resting client that sends something else than an RPC is still timed when it says half of one; what must not run twice is not sent again where it crossed the end of a connection.

Tests of fleet, lease, lab, play and peers pass.

--- a/internal/emu/play/clients.go
+++ b/internal/emu/play/clients.go
@@ -80,11 +80,9 @@
 const (
 	onItsWay = 150 * time.Millisecond // that an attempt may arrive after the time in which it was sent
 	least    = 100 * time.Millisecond // a client does not ask with less time
+	late     = 20 * time.Millisecond  // that a client waits for an answer beyond its time
 )
 
-// late is how much longer than its time a client waits for an answer.
-const late = 20 * time.Millisecond
-
 // NewClients lets clients ask from now on.
 func NewClients(l *loop.Loop, s *Script, r *emu.Record, ledger *emu.Ledger, seed uint64, drivers []netip.AddrPort) *Clients {
 	c := &Clients{loop: l, script: s, record: r, chance: pcg.New(seed), drivers: drivers, idle: make([][]*line, len(drivers)),
--- a/internal/emu/play/clients_test.go
+++ b/internal/emu/play/clients_test.go
@@ -22,7 +22,7 @@
 	loop   *loop.Loop
 	record *emu.Record
 	window time.Duration
-	rests  time.Duration            // it is down after each death
+	rests  time.Duration            // it is down after each death; 0: it dies at the second RPC of a connection
 	down   time.Duration            // until then nobody is let in
 	ran    map[string]time.Duration // by token, or by RPC where it has none
 	again  int                      // tries of what had run
@@ -33,6 +33,7 @@
 	*dying
 	stream *loop.Stream
 	let    bool
+	served bool // an RPC has been answered on it
 }
 
 func (g *guest) Opened()             {}
@@ -64,13 +65,19 @@
 		said[m[1]] = m[2]
 	}
 	key, id := said["k"], said["id"]
-	if said["r"] != "" && key == "" {
-		g.again++
-	}
 	if key == "" {
 		key = id
+		if said["r"] != "" {
+			g.again++
+		}
 	}
 	millis, _ := strconv.Atoi(said["d"])
+	if g.rests == 0 && !g.served && said["r"] == "" { // then the next one comes on a connection that has rested
+		g.served = true
+		g.record.Ran(id, true, "")
+		g.stream.Send(pgwire.AppendHead(nil, 'D', 0), append(pgwire.AppendHead(nil, 'Z', 1), 'I'))
+		return size
+	}
 	if _, known := g.ran[key]; !known {
 		g.ran[key] = g.loop.Now()
 		g.record.Ran(id, true, "")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -302,14 +302,14 @@
 	v.buried[k.Node] = k.Entry
 }
 
+// another is a number that no question has had of late; 0 is that of words that are no question.
+func (v *View) another() uint32 { return max(v.number+1, 1) }
+
 // ask sends the next question.
 func (v *View) ask(now time.Duration) {
 	v.next = now + v.terms.Every
 	v.turns++
-	v.number++
-	if v.number == 0 {
-		v.number = 1
-	}
+	v.number = v.another()
 	if (v.turns%strangers == 0 || v.found && v.turns%2 == 0) && v.askStranger(now) {
 		v.found = false
 		return
@@ -497,7 +497,7 @@
 		return
 	}
 	if sender != v.self {
-		v.found = v.found || m.op == opAck && m.number == 0 && (!sender.reachable || sender.Status >= Dead)
+		v.found = v.found || m.op == opAck && m.number == 0 && m.sender.Status == Alive && (!sender.reachable || sender.Status >= Dead)
 		sender.at, sender.reachable, sender.heard = from, true, now
 	}
 	for _, e := range m.entries {
@@ -511,7 +511,7 @@
 		v.send(from, message{op: opAck, number: m.number, about: sender})
 	case opAskFor:
 		if k := v.nodes[m.target]; k != nil && k.reachable {
-			v.number++
+			v.number = v.another()
 			v.relays[v.number] = relay{from, m.number, now + v.terms.Every}
 			v.send(k.at, message{op: opPing, number: v.number})
 			v.send(from, message{op: opTries, number: m.number})
@@ -531,10 +531,6 @@
 			v.send(r.back, message{op: opAnswers, number: r.number, target: m.sender.Node})
 		}
 		v.answered(m.number, m.sender.Node, now)
-		if sender.Status >= Dead && !sender.warned { // it does not know that it is held dead, and an answer is not answered
-			sender.warned = true
-			v.send(from, message{op: opPing, number: 0, about: sender})
-		}
 	case opAnswers:
 		v.answered(m.number, m.target, now)
 	case opPull:
@@ -681,7 +677,7 @@
 // askPart asks for what differs behind the latest entry that has come. Each time the sums are salted anew: two ranges that differ may have one sum, but
 // not for long.
 func (v *View) askPart(of driver.Peer) {
-	v.number = max(v.number+1, 1)
+	v.number = v.another()
 	v.send(of, message{op: opPull, number: v.number, target: v.pull.after, sums: v.sums(v.number)})
 }
 
--- a/internal/lab/capacity/leases.go
+++ b/internal/lab/capacity/leases.go
@@ -29,25 +29,18 @@
 }
 `
 
-// holder is the driver that holds the lease; under 0: none does.
-func (f *hollow) holder() int {
+// holders are the drivers that hold the lease: one, or none.
+func (f *hollow) holders() (all []int) {
 	for i, n := range f.nodes {
 		if n != nil && n.Counted("leases_gained") > n.Counted("leases_lost") {
-			return i
+			all = append(all, i)
 		}
 	}
-	return -1
+	return all
 }
 
-// held counts those that hold the lease.
-func (f *hollow) held() (count int) {
-	for _, n := range f.nodes {
-		if n != nil && n.Counted("leases_gained") > n.Counted("leases_lost") {
-			count++
-		}
-	}
-	return count
-}
+// holder is the driver that holds the lease; under 0: none does.
+func (f *hollow) holder() int { return append(f.holders(), -1)[0] }
 
 // holds waits for a holder and gives how long that took, in seconds.
 func (f *hollow) holds(most time.Duration) (float64, error) {
@@ -160,15 +153,10 @@
 		p.Measure, p.Unit, p.Value = measure, unit, value
 		point(p)
 	}
-	f, err := newHollow(stop, size, seed, leaseWants+viewWants)
+	f, apart, err := startRegions(stop, size, seed, leaseWants+viewWants)
 	if err != nil {
 		return err
 	}
-	apart := false
-	f.inRegions(&apart)
-	if err := f.startAll(); err != nil {
-		return err
-	}
 	if _, err := f.holds(time.Minute); err != nil {
 		return err
 	}
@@ -222,13 +210,13 @@
 			}
 		}
 	}
-	apart = true
+	*apart = true
 	from, twice, moved := f.world.Now(), 0, -1.0
 	for f.world.Now() < from+20*time.Second {
 		if err := f.run(10 * time.Millisecond); err != nil {
 			return err
 		}
-		if f.held() > 1 {
+		if len(f.holders()) > 1 {
 			twice++
 		}
 		if h := f.holder(); moved < 0 && h >= 0 && regionOf(h) == 0 {
@@ -242,14 +230,14 @@
 	if err := spent("apart"); err != nil {
 		return err
 	}
-	apart = false
+	*apart = false
 	f.forget()
 	from = f.world.Now()
 	for f.world.Now() < from+20*time.Second {
 		if err := f.run(10 * time.Millisecond); err != nil {
 			return err
 		}
-		if f.held() > 1 {
+		if len(f.holders()) > 1 {
 			twice++
 		}
 	}
--- a/internal/lab/capacity/views.go
+++ b/internal/lab/capacity/views.go
@@ -212,8 +212,12 @@
 	return 1
 }
 
-// inRegions lays the links of two regions of zones, which lose each other while apart holds.
-func (f *hollow) inRegions(apart *bool) {
+// startRegions starts a fleet in two regions of zones, which lose each other while apart holds.
+func startRegions(stop context.Context, size int, seed uint64, wants string) (f *hollow, apart *bool, err error) {
+	if f, err = newHollow(stop, size, seed, wants); err != nil {
+		return nil, nil, err
+	}
+	apart = new(bool)
 	f.world.Between = func(from, to *sim.Host) (sim.Link, bool) {
 		a, known := f.numbers[from]
 		b, both := f.numbers[to]
@@ -229,6 +233,7 @@
 		}
 		return l, true
 	}
+	return f, apart, f.startAll()
 }
 
 func playRegions(stop context.Context, size int, seed uint64, point func(Point)) error {
@@ -237,15 +242,10 @@
 		p.Measure, p.Unit, p.Value = measure, unit, value
 		point(p)
 	}
-	f, err := newHollow(stop, size, seed, viewWants)
+	f, apart, err := startRegions(stop, size, seed, viewWants)
 	if err != nil {
 		return err
 	}
-	apart := false
-	f.inRegions(&apart)
-	if err := f.startAll(); err != nil {
-		return err
-	}
 	took, err := f.settle(2 * time.Minute)
 	if err != nil {
 		return err
@@ -275,7 +275,7 @@
 	if _, err := f.settle(time.Minute); err != nil {
 		return err
 	}
-	apart = true
+	*apart = true
 	cutAt := f.world.Now()
 	f.forget()
 	of := [2]int{}
@@ -296,7 +296,7 @@
 	if err := f.steady(point, p, "cut", time.Minute); err != nil {
 		return err
 	}
-	apart = false
+	*apart = false
 	f.forget()
 	healed := f.world.Now()
 	if when, never, err = f.until(5*time.Minute, 100*time.Millisecond, func(i int) bool { return f.nodes[i].View().Living() == size }); err != nil {
--- a/internal/lease/asker.go
+++ b/internal/lease/asker.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -21,32 +20,11 @@
 	term   uint64 // fencing number
 	sent   time.Duration
 	yes    []Node
-	no     []refusal
+	no     []Node
+	wait   time.Duration // longest that a refusal told
 }
 
-// refusal is a voter's, with the wait that it told.
-type refusal struct {
-	by   Node
-	wait time.Duration
-}
-
-// refused tells whether a voter has refused, and told no longer wait than that.
-func (r *round) refused(most time.Duration) func(Node) bool {
-	return func(n Node) bool {
-		return slices.ContainsFunc(r.no, func(o refusal) bool { return o.by == n && o.wait <= most })
-	}
-}
-
-// wait is when a majority may be free: the shortest that a majority told, or the longest of fewer.
-func (r *round) wait(set Set) (wait time.Duration) {
-	slices.SortFunc(r.no, func(a, b refusal) int { return cmp.Compare(a.wait, b.wait) })
-	for _, o := range r.no {
-		if wait = o.wait; set.majority(r.refused(wait)) {
-			break
-		}
-	}
-	return wait
-}
+func (r *round) refused(n Node) bool { return slices.Contains(r.no, n) }
 
 const (
 	remembered = 4                      // rounds whose answers may still come
@@ -115,8 +93,6 @@
 	return a.rounds[len(a.rounds)-1].term
 }
 
-const forever = time.Duration(1<<63 - 1)
-
 func nobody(Node) bool { return false }
 
 // release gives a term back to all voters but some.
@@ -224,9 +200,9 @@
 		delete(a.why, from)
 		r.yes = append(r.yes, from)
 		a.granted(r, now)
-	case m.Op == Refuse && !r.refused(forever)(from):
-		r.no = append(r.no, refusal{from, m.Lasts})
-		if a.term == 0 && a.judge != 0 && i == len(a.rounds)-1 && !a.set.possible(r.refused(forever)) {
+	case m.Op == Refuse && !r.refused(from):
+		r.no, r.wait = append(r.no, from), max(r.wait, m.Lasts)
+		if a.term == 0 && a.judge != 0 && i == len(a.rounds)-1 && !a.set.possible(r.refused) {
 			a.giveUp(now)
 		}
 	}
@@ -261,7 +237,7 @@
 	a.vain++
 	wait := min(leastWait<<min(a.vain, 10), a.lasts)
 	wait = wait/2 + a.jitter(wait)
-	switch told := r.wait(a.set); {
+	switch told := r.wait; {
 	case told > 2*a.lasts: // there is no place in line: those who rest come one by one
 		wait = min(told, rests*a.lasts)
 		wait = wait/2 + a.jitter(wait/2)
@@ -269,7 +245,7 @@
 		wait = told + a.jitter(spacing)
 	}
 	a.next = now + wait
-	a.release(r.term, r.refused(forever)) // who refused has nothing to get back
+	a.release(r.term, r.refused) // who refused has nothing to get back
 	a.rounds = nil
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -317,3 +317,27 @@
 	}
 	return nil
 }
+
+// words keeps what an asker sends.
+type words struct{ sent map[Op][]Node }
+
+func (w *words) Send(to Node, m Message) { w.sent[m.Op] = append(w.sent[m.Op], to) }
+func (*words) Gained(string, uint64)     {}
+func (*words) Lost(string, uint64)       {}
+
+// A question in vain is given back to those only that may have granted it, and who is told to rest comes between half of that time and all of it.
+func TestWhatIsInVainIsGivenBackToWhoMayHaveGrantedIt(t *testing.T) {
+	w := &words{make(map[Op][]Node)}
+	a := NewAsker(w, Holder{9, 1}, "x", lasts, Set{Version: 1, Voters: []Node{1, 2, 3, 4, 5}}, 1)
+	a.Want(0)
+	a.Wake(0, 1)
+	for n := Node(1); n <= 3; n++ {
+		a.Take(n, Message{Op: Refuse, Why: Held, Lease: "x", Version: 1, Round: 1, Number: 5, Lasts: 10 * lasts, Holder: Holder{8, 1}}, ms)
+	}
+	if back := w.sent[Release]; !slices.Equal(back, []Node{4, 5}) {
+		t.Errorf("given back to %v", back)
+	}
+	if a.next < 5*lasts || a.next > 10*lasts+ms {
+		t.Errorf("told to rest for %v it asks again after %v", 10*lasts, a.next)
+	}
+}
--- a/internal/lease/orders_test.go
+++ b/internal/lease/orders_test.go
@@ -130,7 +130,7 @@
 				if slices.Contains(r.yes, n) {
 					out = append(out, byte(n))
 				}
-				if r.refused(forever)(n) {
+				if r.refused(n) {
 					out = append(out, byte(n)|0x80)
 				}
 			}
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -486,6 +486,7 @@
 	}
 	s.ask(100*ms, order("a"))
 	say(halves, 100*ms, asQuery(order("h")))
+	say(halves, 15*time.Second, asQuery("")) // which is no RPC
 	say(halves, 20*time.Second, asQuery(order("i"))[:30])
 	s.ask(30*time.Second, order("b"))
 	s.world.Run(epoch + 31*time.Second)
