Logs: the course of each request, reasons of closes, refusals and retries, phases of a stop

At level debug each request is now logged with its id when it is read, taken, sent, retried (with how the attempt before ended) and answered (with the module's reason); each close of a client's connection has a reason and a counter; the phases of a planned stop are logged at info. Front: Seat, Guest and Room are Connection, Handler and Connections. No decision changes.

--- a/internal/front/room.go
+++ b/internal/front/connections.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -31,61 +32,61 @@
 	return driver.Session(max(1, hash.Sum64()))
 }
 
-// Guest is one connection's protocol. Asking tells that something of it is served; Half tells the client that half of
+// Handler is one connection's protocol. Asking tells that something of it is served; Half tells the client that half of
 // something came and no more, and ends the connection.
-type Guest interface {
+type Handler interface {
 	loop.Owner
 	Asking() bool
 	Half()
 }
 
-// Seat is what the room knows of one connection.
-type Seat struct {
+// Connection is what the room knows of one connection.
+type Connection struct {
 	Stream *loop.Stream
 	Handle slots.Handle
 	Gone   bool // nothing more is read or said
 	Begun  bool // half of a message has come
 	Asked  bool // it has asked for something already
 
-	room   *Room
-	guest  Guest
-	idle   time.Duration // since when nothing is asked, or half of it
-	unsent int           // bytes that it had not read when last looked at
-	place  chain.Link[*Seat]
+	room    *Connections
+	handler Handler
+	idle    time.Duration // since when nothing is asked, or half of it
+	unsent  int           // bytes that it had not read when last looked at
+	place   chain.Link[*Connection]
 }
 
-// Room holds the connections of one listener.
-type Room struct {
+// Connections holds the connections of one listener.
+type Connections struct {
 	loop     *loop.Loop
 	count    func(what string)
-	seats    slots.Table[*Seat]
+	open     slots.Table[*Connection]
 	listener *loop.Listener
-	leaving  bool                  // connections end between RPCs
-	waiting  [2]chain.Chain[*Seat] // those that nothing is served for, in the order of idle: who never asked, who has of late
-	resting  chain.Chain[*Seat]    // who has asked and nothing since, longer than that: they are kept while there is room
-	asking   int                   // those that something is served for
-	patrols  bool                  // a look at the first of them is due
-	owed     int                   // connections that another room needs, to end once they are answered
-	welcome  func(seat *Seat) Guest
+	leaving  bool                        // connections end between RPCs
+	waiting  [2]chain.Chain[*Connection] // those that nothing is served for, in the order of idle: who never asked, who has of late
+	resting  chain.Chain[*Connection]    // who has asked and nothing since, longer than that: they are kept while there is room
+	asking   int                         // those that something is served for
+	patrols  bool                        // a look at the first of them is due
+	owed     int                         // connections that another room needs, to end once they are answered
+	welcome  func(connection *Connection) Handler
 }
 
-// Listen takes connections in. Each brings no more than most bytes that are not taken; welcome makes its guest.
+// Listen takes connections in. Each brings no more than most bytes that are not taken; welcome makes its handler.
 func Listen(l *loop.Loop, at netip.AddrPort, most int, door loop.Door, count func(what string),
-	welcome func(*Seat) Guest) (*Room, error) {
-	r := &Room{loop: l, count: count, welcome: welcome}
+	welcome func(*Connection) Handler) (*Connections, error) {
+	r := &Connections{loop: l, count: count, welcome: welcome}
 	var err error
 	r.listener, err = l.Listen(at, most, door, r.accept, func(urgent bool) { r.yield(urgent) })
 	return r, err
 }
 
 // Held tells how many connections there are, and what bytes past the common size they hold.
-func (r *Room) Held() (connections, bytes int) { return r.listener.Held() }
+func (r *Connections) Held() (connections, bytes int) { return r.listener.Held() }
 
 // Bear changes how many bytes that are not taken each new connection may bring.
-func (r *Room) Bear(most int) { r.listener.Bear(most) }
+func (r *Connections) Bear(most int) { r.listener.Bear(most) }
 
 // Yield ends so many connections that another room needs: of those that ask nothing, else the next that are answered.
-func (r *Room) Yield(count int) {
+func (r *Connections) Yield(count int) {
 	r.owed = 0
 	for range count {
 		if !r.yield(true) {
@@ -95,16 +96,16 @@
 }
 
 // GiveWay ends a connection that asks nothing, if there is one.
-func (r *Room) GiveWay() bool { return r.yield(true) }
+func (r *Connections) GiveWay() bool { return r.yield(true) }
 
-func (r *Room) accept(open func(loop.Owner) *loop.Stream) {
-	s := &Seat{room: r}
+func (r *Connections) accept(open func(loop.Owner) *loop.Stream) {
+	s := &Connection{room: r}
 	s.place.Value = s
-	s.guest = r.welcome(s)
-	if s.Stream = open(s.guest); s.Stream == nil {
+	s.handler = r.welcome(s)
+	if s.Stream = open(s.handler); s.Stream == nil {
 		return
 	}
-	if s.Handle = r.seats.Put(s); s.Handle == 0 {
+	if s.Handle = r.open.Put(s); s.Handle == 0 {
 		s.Stream.Close()
 		return
 	}
@@ -112,7 +113,7 @@
 	s.Wait()
 }
 
-func (s *Seat) chain() *chain.Chain[*Seat] {
+func (s *Connection) chain() *chain.Chain[*Connection] {
 	if s.Asked {
 		return &s.room.waiting[1]
 	}
@@ -120,7 +121,7 @@
 }
 
 // Wait puts the client behind the others that wait, from now on.
-func (s *Seat) Wait() {
+func (s *Connection) Wait() {
 	r := s.room
 	s.idle, s.Begun = r.loop.Now(), false
 	s.chain().Push(&s.place)
@@ -131,20 +132,20 @@
 }
 
 // Serve tells that something is served for the client; Served that nothing is any more, and what it was told.
-func (s *Seat) Serve() {
+func (s *Connection) Serve() {
 	s.place.Leave()
 	s.Asked = true
 	s.room.asking++
 }
 
-func (s *Seat) Served() {
+func (s *Connection) Served() {
 	s.room.asking--
 	s.unsent = 0
 }
 
 // Hears tells whether the client may be read from: who does not read gets nothing more to read. Where it may, it
 // has begun to ask.
-func (s *Seat) Hears() bool {
+func (s *Connection) Hears() bool {
 	if s.Stream.Unsent() > 0 || s.Stream.Weighs() {
 		return false
 	}
@@ -156,14 +157,14 @@
 }
 
 // patrol ends the connections of those who were waited for too long.
-func (r *Room) patrol() {
+func (r *Connections) patrol() {
 	r.patrols = false
 	for i := range r.waiting {
 		r.lookOver(&r.waiting[i])
 	}
 }
 
-func (r *Room) lookOver(waiting *chain.Chain[*Seat]) {
+func (r *Connections) lookOver(waiting *chain.Chain[*Connection]) {
 	for at := waiting.First(); at != nil; at = waiting.First() {
 		s := at.Value
 		if s.idle+patience > r.loop.Now() {
@@ -180,16 +181,16 @@
 			s.Wait()
 		case left > 0:
 			r.count("clients_stuck")
+			s.closing(ClosedStuck)
 			s.Stream.Close()
-			s.guest.Closed(nil)
+			s.handler.Closed(nil)
 		case len(s.Stream.Unread()) > 0:
-			s.guest.Half()
+			s.handler.Half()
 		case s.Stream.Alive() && s.Asked:
 			s.Begun = false
 			r.resting.Push(&s.place)
 		case s.Stream.Alive():
-			r.count("clients_closed_idle")
-			s.Close()
+			s.Close(ClosedIdle)
 		default: // something has come just now
 			s.Wait()
 		}
@@ -197,14 +198,16 @@
 }
 
 // Leave forgets a connection that is gone.
-func (s *Seat) Leave() {
-	s.room.seats.Drop(s.Handle)
+func (s *Connection) Leave(cause error) {
+	slog.Debug("client_gone", "client", s.Handle, "cause", cause)
+	s.room.open.Drop(s.Handle)
 	s.place.Leave()
 	s.Gone = true
 }
 
 // Close ends the connection once what was said has been written.
-func (s *Seat) Close() {
+func (s *Connection) Close(reason CloseReason) {
+	s.closing(reason)
 	s.Gone = true
 	s.place.Leave()
 	s.Stream.CloseWhenSent()
@@ -212,15 +215,19 @@
 
 // Rest ends the connection if nothing more is served, and tells whether it did; else more may have come behind what
 // was answered, and others may need the room.
-func (s *Seat) Rest() (ended bool) {
+func (s *Connection) Rest() (ended bool) {
 	r := s.room
 	if s.Stream.Spent() && len(s.Stream.Unread()) == 0 { // it sends no more
-		s.Close()
+		s.Close(ClosedByClient)
 		return true
 	}
 	if (r.leaving || r.owed > 0) && len(s.Stream.Unread()) == 0 && s.Stream.Alive() {
 		r.owed = max(r.owed-1, 0)
-		s.Close()
+		if r.leaving {
+			s.Close(ClosedShutdown)
+		} else {
+			s.Close(ClosedShare)
+		}
 		return true
 	}
 	r.loop.Later(s.Stream.Look)
@@ -229,14 +236,14 @@
 }
 
 // quiet tells of a client that asks nothing and has nothing to hear.
-func (s *Seat) quiet() bool {
-	return !s.guest.Asking() && !s.Gone && len(s.Stream.Unread()) == 0 && s.Stream.Unsent() == 0 && s.Stream.Alive()
+func (s *Connection) quiet() bool {
+	return !s.handler.Asking() && !s.Gone && len(s.Stream.Unread()) == 0 && s.Stream.Unsent() == 0 && s.Stream.Alive()
 }
 
 // spread ends the connection that has asked nothing for longest once those who ask hold a fifth of the descriptors, or
 // as much of this room's part. A third is all that they may, some never close, and many may come at once: others would
 // find none left.
-func (r *Room) spread() {
+func (r *Connections) spread() {
 	if r.resting.Count()+r.waiting[1].Count()+r.asking <= r.listener.Allowed()*8/25 {
 		return
 	}
@@ -246,15 +253,14 @@
 }
 
 // end ends the connection that has asked nothing for longest of a chain, and for so long at least. It tells whether there was one.
-func (r *Room) end(of *chain.Chain[*Seat], least time.Duration) bool {
+func (r *Connections) end(of *chain.Chain[*Connection], least time.Duration) bool {
 	for at := of.First(); at != nil; at = at.Next() {
 		s := at.Value
 		if r.loop.Now()-s.idle < least {
 			return false
 		}
 		if s.quiet() {
-			r.count("clients_closed_idle")
-			s.Close()
+			s.Close(ClosedIdle)
 			return true
 		}
 	}
@@ -263,7 +269,7 @@
 
 // yield ends the connection that has asked nothing for longest, of those that never have if there is one. Those that
 // have yet to ask get a moment: their query may be on its way. The others get one unless that is urgent. It tells whether there was one.
-func (r *Room) yield(urgent bool) bool {
+func (r *Connections) yield(urgent bool) bool {
 	least := hesitant
 	if urgent {
 		least = 0
@@ -272,39 +278,40 @@
 }
 
 // Leave ends connections between RPCs from now on; new ones are still served.
-func (r *Room) Leave(ready func(Guest) bool) {
+func (r *Connections) Leave(ready func(Handler) bool) {
 	r.leaving = true
-	r.seats.Each(func(_ slots.Handle, s *Seat) {
-		if ready(s.guest) && s.quiet() {
-			s.Close()
+	r.open.Each(func(_ slots.Handle, s *Connection) {
+		if ready(s.handler) && s.quiet() {
+			s.Close(ClosedShutdown)
 		}
 	})
 }
 
 // Shut takes no new connections; those that wait to be taken in still are.
-func (r *Room) Shut() { r.listener.Drain() }
+func (r *Connections) Shut() { r.listener.Drain() }
 
 // Sweep ends what has asked nothing for some time, and what has not moved for longer. It counts the clients that
 // remain.
-func (r *Room) Sweep(idle, patience time.Duration) int {
-	r.seats.Each(func(h slots.Handle, s *Seat) {
+func (r *Connections) Sweep(idle, patience time.Duration) int {
+	r.open.Each(func(h slots.Handle, s *Connection) {
 		if s.quiet() && r.loop.Now()-s.idle >= idle {
-			s.Close()
-		} else if !s.guest.Asking() && r.loop.Now()-s.idle > patience {
+			s.Close(ClosedShutdown)
+		} else if !s.handler.Asking() && r.loop.Now()-s.idle > patience {
+			s.closing(ClosedStuck)
 			s.Stream.Close()
-			r.seats.Drop(h)
+			r.open.Drop(h)
 		}
 	})
-	return r.seats.Count()
+	return r.open.Count()
 }
 
-// Guest gives who has the handle, nil where nobody does.
-func (r *Room) Guest(h slots.Handle) Guest {
-	if s := r.seats.Get(h); s != nil {
-		return s.guest
+// Handler gives who has the handle, nil where nobody does.
+func (r *Connections) Handler(h slots.Handle) Handler {
+	if s := r.open.Get(h); s != nil {
+		return s.handler
 	}
 	return nil
 }
 
 // Count tells how many are connected.
-func (r *Room) Count() int { return r.seats.Count() }
+func (r *Connections) Count() int { return r.open.Count() }
--- a/internal/front/odata/errand.go
+++ b/internal/front/odata/errand.go
@@ -1,8 +1,10 @@
 package odata
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
+	"log/slog"
 	"strconv"
 	"strings"
 	"time"
@@ -83,6 +85,9 @@
 	if position = max(position, floor); e.act.Writes() {
 		position = 0
 	}
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("request", "id", e.id, "client", e.handle, "method", f.methods[method], "left_ms", (until - now).Milliseconds())
+	}
 	e.word(method, token, position)
 	wrote := time.Duration(0)
 	if position > 0 {
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -21,18 +21,18 @@
 
 // Front is one listener.
 type Front struct {
-	loop    *loop.Loop
-	clerk   driver.Clerk
-	room    *front.Room
-	offer   *operator.OData
-	methods []string // by number, as statements name them
-	members string   // the root that members serve under
-	errands slots.Table[*errand]
-	open    front.Ids
-	memory  *repeat.Memory
-	chance  *pcg.Source
-	second  time.Duration // that now was made in
-	now     string
+	loop        *loop.Loop
+	clerk       driver.Clerk
+	connections *front.Connections
+	offer       *operator.OData
+	methods     []string // by number, as statements name them
+	members     string   // the root that members serve under
+	errands     slots.Table[*errand]
+	open        front.Ids
+	memory      *repeat.Memory
+	chance      *pcg.Source
+	second      time.Duration // that now was made in
+	now         string
 }
 
 // Listen starts to take clients in.
@@ -43,8 +43,8 @@
 	}
 	f.Offer(offer)
 	var err error
-	f.room, err = front.Listen(l, at, most(offer), door, clerk.Count, func(s *front.Seat) front.Guest {
-		return &conn{Seat: s, front: f}
+	f.connections, err = front.Listen(l, at, most(offer), door, clerk.Count, func(s *front.Connection) front.Handler {
+		return &conn{Connection: s, front: f}
 	})
 	return f, err
 }
@@ -55,8 +55,8 @@
 // Offer changes what is offered and its limits. What is under way goes on as it began.
 func (f *Front) Offer(offer *operator.OData) {
 	f.offer = offer
-	if f.room != nil {
-		f.room.Bear(most(offer))
+	if f.connections != nil {
+		f.connections.Bear(most(offer))
 	}
 	f.memory.Sticky, f.memory.Kept = offer.Repeats.Sticky, offer.Repeats.Kept
 	f.memory.Most, f.memory.Open = offer.Repeats.Bytes, offer.Repeats.Open
@@ -68,12 +68,12 @@
 // Repeats gives what it remembers of repeatable requests.
 func (f *Front) Repeats() *repeat.Memory { return f.memory }
 
-// Room gives the room of its connections.
-func (f *Front) Room() *front.Room { return f.room }
+// Connections gives those that it holds.
+func (f *Front) Connections() *front.Connections { return f.connections }
 
 // conn is one connection; one request of it is served at a time, and what comes behind waits.
 type conn struct {
-	*front.Seat
+	*front.Connection
 	front     *Front
 	served    *work // nil: none
 	continued bool  // the client was told to send the body
@@ -99,7 +99,7 @@
 }
 
 func (c *conn) Closed(cause error) {
-	c.Seat.Leave()
+	c.Connection.Leave(cause)
 	c.letGo()
 }
 
@@ -110,7 +110,7 @@
 		return
 	}
 	c.served, w.conn = nil, nil
-	c.Seat.Served()
+	c.Connection.Served()
 	if w.batch != nil {
 		w.batch.leave()
 	} else if w.errand != nil {
@@ -124,7 +124,7 @@
 		c.Stream.Send(c.front.message(aborted(), "4.01", false, true))
 	}
 	c.letGo()
-	c.Close()
+	c.Close(front.ClosedPanic)
 }
 
 // fail answers what cannot be read and ends the connection.
@@ -132,7 +132,7 @@
 	c.front.clerk.Count("clients_refused")
 	c.letGo()
 	c.Stream.Send(c.front.message(failure(&odata.Error{Status: fault.Status, Code: "BadRequest", Text: fault.Reason}), "4.01", false, true))
-	c.Close()
+	c.Close(front.ClosedUnreadable)
 }
 
 func (c *conn) Input(in []byte) int {
@@ -191,11 +191,11 @@
 	}
 	f := c.front
 	c.served, w.conn = nil, nil
-	c.Seat.Served()
+	c.Connection.Served()
 	c.Wait()
 	c.Stream.Send(f.message(r, w.version, w.head, w.last))
 	if w.last {
-		c.Close()
+		c.Close(front.ClosedByClient)
 	} else if !w.asking {
 		c.Rest()
 	}
@@ -282,7 +282,7 @@
 	}
 }
 
-func (f *Front) Leave()                                 { f.room.Leave(func(front.Guest) bool { return true }) }
-func (f *Front) Shut()                                  { f.room.Shut() }
-func (f *Front) Sweep(idle, patience time.Duration) int { return f.room.Sweep(idle, patience) }
-func (f *Front) Open() int                              { return f.room.Count() }
+func (f *Front) Leave()                                 { f.connections.Leave(func(front.Handler) bool { return true }) }
+func (f *Front) Shut()                                  { f.connections.Shut() }
+func (f *Front) Sweep(idle, patience time.Duration) int { return f.connections.Sweep(idle, patience) }
+func (f *Front) Open() int                              { return f.connections.Count() }
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -2,6 +2,8 @@
 package pg
 
 import (
+	"context"
+	"log/slog"
 	"net/netip"
 	"strconv"
 	"time"
@@ -16,20 +18,20 @@
 
 // Front is all that clients are connected to.
 type Front struct {
-	loop     *loop.Loop
-	clerk    driver.Clerk
-	methods  map[string]driver.Method
-	sessions map[driver.Method]bool // methods whose quoted key names the session
-	tokened  map[driver.Method]bool
-	open     front.Ids
-	room     *front.Room
-	secrets  *pcg.Source
+	loop        *loop.Loop
+	clerk       driver.Clerk
+	methods     map[string]driver.Method
+	sessions    map[driver.Method]bool // methods whose quoted key names the session
+	tokened     map[driver.Method]bool
+	open        front.Ids
+	connections *front.Connections
+	secrets     *pcg.Source
 }
 
 const bearable = 8 // messages of no use that a client may send
 
 type client struct {
-	*front.Seat
+	*front.Connection
 	front   *Front
 	started bool
 	rpc     driver.RPC // that is being served
@@ -51,8 +53,8 @@
 	f := &Front{secrets: pcg.New(seed), loop: l, clerk: clerk, open: open}
 	f.Methods(methods, sessions, tokened)
 	var err error
-	f.room, err = front.Listen(l, at, pgwire.Most+1, door, clerk.Count, func(s *front.Seat) front.Guest {
-		return &client{Seat: s, front: f, secret: f.secrets.Uint32()}
+	f.connections, err = front.Listen(l, at, pgwire.Most+1, door, clerk.Count, func(s *front.Connection) front.Handler {
+		return &client{Connection: s, front: f, secret: f.secrets.Uint32()}
 	})
 	return f, err
 }
@@ -76,7 +78,7 @@
 func (c *client) Opened() {}
 
 func (c *client) Closed(cause error) {
-	c.Seat.Leave()
+	c.Connection.Leave(cause)
 	c.letGo()
 }
 
@@ -110,7 +112,7 @@
 
 func (c *client) served() {
 	c.serving = false
-	c.Seat.Served()
+	c.Connection.Served()
 	delete(c.front.open, c.id)
 }
 
@@ -120,7 +122,7 @@
 		c.Stream.Send(pgwire.AppendError(nil, true, "58000", "aborted", -1))
 	}
 	c.letGo()
-	c.Close()
+	c.Close(front.ClosedPanic)
 }
 
 // fail ends what cannot be read, whatever is served on it.
@@ -128,7 +130,7 @@
 	c.front.clerk.Count("clients_refused")
 	c.letGo()
 	c.Stream.Send(pgwire.AppendError(nil, true, code, message, -1))
-	c.Close()
+	c.Close(front.ClosedUnreadable)
 }
 
 func (c *client) Input(in []byte) int {
@@ -158,7 +160,7 @@
 		return 0
 	}
 	if kind == 'X' {
-		c.Close()
+		c.Close(front.ClosedByClient)
 		return len(in)
 	}
 	text, ok := pgwire.Text(body)
@@ -212,7 +214,7 @@
 		if process, secret, ok := pgwire.Cancelled(in[:size]); ok {
 			c.front.cancel(driver.Client(process), secret)
 		}
-		c.Close()
+		c.Close(front.ClosedByClient)
 	case code>>16 != pgwire.Version3>>16:
 		c.fail("0A000", "only version 3 of the protocol is spoken")
 	default:
@@ -283,6 +285,9 @@
 	// Its time counts from its last byte, also while it waits behind another: its client leaves by its own clock.
 	came := c.Stream.Came(size)
 	until := came + time.Duration(millis)*time.Millisecond - front.Telling
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("request", "id", string(id), "client", c.Handle, "method", string(method), "left_ms", (until - f.loop.Now()).Milliseconds())
+	}
 	c.Serve()
 	c.serving, c.asking, c.size, c.text, c.checked = true, true, size, 5, size
 	c.id = string(id)
@@ -319,7 +324,7 @@
 }
 
 func (f *Front) client(of driver.Client) *client {
-	if c, ok := f.room.Guest(slots.Handle(of)).(*client); ok && c.serving {
+	if c, ok := f.connections.Handler(slots.Handle(of)).(*client); ok && c.serving {
 		return c
 	}
 	return nil
@@ -371,11 +376,13 @@
 }
 
 // Leave ends connections between RPCs from now on; new ones are still served.
-func (f *Front) Leave() { f.room.Leave(func(g front.Guest) bool { return g.(*client).started }) }
+func (f *Front) Leave() {
+	f.connections.Leave(func(g front.Handler) bool { return g.(*client).started })
+}
 
-// Room gives the room of its connections.
-func (f *Front) Room() *front.Room { return f.room }
+// Connections gives those that it holds.
+func (f *Front) Connections() *front.Connections { return f.connections }
 
-func (f *Front) Shut()                                  { f.room.Shut() }
-func (f *Front) Sweep(idle, patience time.Duration) int { return f.room.Sweep(idle, patience) }
-func (f *Front) Open() int                              { return f.room.Count() }
+func (f *Front) Shut()                                  { f.connections.Shut() }
+func (f *Front) Sweep(idle, patience time.Duration) int { return f.connections.Sweep(idle, patience) }
+func (f *Front) Open() int                              { return f.connections.Count() }
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -17,13 +17,13 @@
 
 // door is one listener and what it holds.
 type door struct {
-	node   *Node
-	name   string
-	front  driver.Front
-	room   *front.Room
-	number int // among the shares
-	rpcs   int // under way
-	taken  int
+	node        *Node
+	name        string
+	front       driver.Front
+	connections *front.Connections
+	number      int // among the shares
+	rpcs        int // under way
+	taken       int
 }
 
 // manyRPCs is what all fronts together may have under way.
@@ -45,13 +45,13 @@
 			var portal *pgfront.Front
 			if portal, err = pgfront.Listen(n.loop, n, at, d.limits(), open, names, sessions, tokened,
 				n.site.Seed+uint64(d.number)); err == nil {
-				d.front, d.room = portal, portal.Room()
+				d.front, d.connections = portal, portal.Connections()
 			}
 		case "odata":
 			var offices *odatafront.Front
 			if offices, err = odatafront.Listen(n.loop, n, at, d.limits(), open, f.OData, names, n.wants.Root,
 				n.site.Seed+uint64(d.number)); err == nil {
-				d.front, d.room = offices, offices.Room()
+				d.front, d.connections = offices, offices.Connections()
 				n.recallRepeats(f.Name, offices)
 			}
 		}
@@ -77,8 +77,8 @@
 	n := d.node
 	n.tally()
 	room := n.shares.Room(d.number, kind, most)
-	if d.room != nil {
-		if connections, _ := d.room.Held(); kind == share.Connections && connections >= room {
+	if d.connections != nil {
+		if connections, _ := d.connections.Held(); kind == share.Connections && connections >= room {
 			n.shares.Lacks(d.number, kind, n.loop.Now())
 		}
 	}
@@ -88,7 +88,7 @@
 // tally tells what all doors hold.
 func (n *Node) tally() {
 	for _, o := range n.doors {
-		connections, bytes := o.room.Held()
+		connections, bytes := o.connections.Held()
 		n.shares.Hold(o.number, share.Connections, connections)
 		n.shares.Hold(o.number, share.Bytes, bytes)
 		n.shares.Hold(o.number, share.RPCs, o.rpcs)
@@ -113,7 +113,7 @@
 	n.partAt = n.loop.Now() + parting
 	n.tally()
 	for _, d := range n.doors {
-		d.room.Yield(n.shares.Over(d.number, share.Connections, n.loop.Most()*5/8, n.loop.Now()))
+		d.connections.Yield(n.shares.Over(d.number, share.Connections, n.loop.Most()*5/8, n.loop.Now()))
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	calls    []uint32
 	out      int
 	answered bool
+	last     driver.Outcome // of the attempt that ended last
 	overdue  loop.Due
 }
 
@@ -196,7 +197,7 @@
 // descriptor is free a moment later, and the next need no member's.
 func (n *Node) makeRoom() bool {
 	for _, d := range n.doors {
-		if d.room.GiveWay() {
+		if d.connections.GiveWay() {
 			break
 		}
 	}
@@ -328,6 +329,11 @@
 	}
 	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
 	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
+	for phase, at := range map[string]time.Duration{"not_accepting": begun + newcomers, "closing": n.ends, "all_answered": n.ending} {
+		n.loop.At(at, func() {
+			slog.Info("shutdown", "phase", phase, "after_ms", (n.loop.Now() - begun).Milliseconds(), "rpcs", n.rpcs.Count(), "clients", n.open())
+		})
+	}
 	n.loop.At(begun+newcomers, func() {
 		for _, d := range n.doors {
 			d.front.Shut()
@@ -407,18 +413,21 @@
 	n.back.Asked(uint16(group))
 	if !d.mayTake() {
 		n.Count("rpcs_over_share")
+		slog.Debug("rpc_refused", "client", from, "reason", "over_share")
 		by.PushBack(from, 0)
 		return 0
 	}
 	h := n.rpcs.Put(q)
 	if h == 0 {
 		n.Count("rpcs_no_room")
+		slog.Debug("rpc_refused", "client", from, "reason", "no_room")
 		by.PushBack(from, 0)
 		return 0
 	}
 	d.taken++
 	d.rpcs++
 	q.overdue = n.loop.At(until+n.tick, func() { n.overdue(driver.RPC(h)) })
+	n.traceTaken(driver.RPC(h), from, until)
 	n.stir()
 	n.module.Take(driver.RPC(h), method, group, 0, session, came, until, wrote, repeat)
 	return driver.RPC(h)
@@ -449,6 +458,7 @@
 	n.loop.Forget(q.overdue)
 	q.door.rpcs--
 	n.Count("rpcs_" + how)
+	n.traceAnswered(id, q, how)
 	n.back.Answered(how == "pushed_back")
 	n.drop(id, q)
 	return q
@@ -488,10 +498,12 @@
 func (n *Node) AttemptEnded(id driver.RPC, call int, from driver.Member, how driver.Outcome, took, pos time.Duration,
 	role driver.Role, report []float64, a *driver.Answer) {
 	n.Count("attempts_" + outcomes[how])
+	n.traceEnded(id, call, from, how, took)
 	q := n.get(id)
 	if q == nil {
 		return
 	}
+	q.last = how
 	if role == driver.Primary {
 		n.back.Proven(uint16(q.group))
 	}
@@ -570,6 +582,7 @@
 		until = 0
 	}
 	n.Count("attempts_sent")
+	n.traceAttempt(id, q, to, until)
 	q.out++
 	q.calls = append(q.calls, q.side.Attempt(id, len(q.calls), to, by, until, ask))
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -150,6 +150,7 @@
 	came, fresh, ready   float64 // recent work asked for, of it by first tries; members to send to
 	cameAt               time.Duration
 	held                 []*rpc
+	reason               Reason // of the latest RPC that was given up
 }
 
 const never = driver.LongAgo // before all other times
@@ -255,7 +256,7 @@
 func (r *Router) route(q *rpc) {
 	now, g, m := r.host.Now(), q.group, q.method
 	if now >= q.by-r.tick {
-		r.giveUp(q, 0)
+		r.giveUp(q, 0, NoTimeLeft)
 		return
 	}
 	primary := g.primary
@@ -307,7 +308,7 @@
 	if predicted := r.cautious(to, m, utility); predicted > left && !scout {
 		to = r.other(q, to, primary, now)
 		if to == nil || r.cautious(to, m, utility) > left {
-			r.giveUp(q, min(predicted-left, m.soft/4))
+			r.giveUp(q, min(predicted-left, m.soft/4), TooSlow)
 			return
 		}
 	}
@@ -546,7 +547,7 @@
 		q.holdUntil = now + time.Duration(holdPart[q.method.need]*float64(q.until-now))
 	}
 	if now >= q.holdUntil {
-		r.giveUp(q, askAgain)
+		r.giveUp(q, askAgain, NoMember)
 		return
 	}
 	q.held = true
@@ -554,7 +555,8 @@
 }
 
 // giveUp gives the final answer to an RPC that gets no more attempts.
-func (r *Router) giveUp(q *rpc, wait time.Duration) {
+func (r *Router) giveUp(q *rpc, wait time.Duration, why Reason) {
+	r.reason = why
 	r.callOff(q)
 	if q.method.idempotent || !q.mayHaveRun && q.out == 0 || q.method.tokened && q.method.everywhere {
 		r.host.PushBack(q.id, min(max(wait, 0), r.terms.Span("caps.longest_wait")))
@@ -627,7 +629,7 @@
 	m := q.method
 	switch {
 	case how == driver.TimedOut, how == driver.Cancelled:
-		r.giveUp(q, r.terms.Span("caps.longest_wait"))
+		r.giveUp(q, r.terms.Span("caps.longest_wait"), NoAnswer)
 	case how != driver.Moot && len(q.calls) < int(r.terms.Number("caps.attempts", 1)) &&
 		(!q.mayHaveRun || m.idempotent || m.tokened):
 		if q.mayHaveRun && !m.idempotent {
@@ -635,7 +637,7 @@
 		}
 		r.route(q)
 	default:
-		r.giveUp(q, 0)
+		r.giveUp(q, 0, NoRetry)
 	}
 }
 
@@ -781,7 +783,7 @@
 func (r *Router) ClientParts(id driver.RPC) {
 	if q := r.rpcs[id]; q != nil {
 		if q.by = r.host.Now(); q.held {
-			r.giveUp(q, 0)
+			r.giveUp(q, 0, ClientParted)
 		}
 	}
 }
