Soak: shutdowns of real processes under trouble; fails on the driver as it stands

internal/soak plays seeded shutdowns: hung, late and broken members, clients that send until the kill, signals in series, a process held up by SIGSTOP, SIGKILL at the earliest moment.

--- /dev/null
+++ b/internal/soak/driver_test.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// program builds passtack once.
+var program = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "passtack-soak")
+	if err != nil {
+		return "", err
+	}
+	name := filepath.Join(folder, "passtack")
+	if out, err := exec.Command("go", "build", "-o", name, "passtack/cmd/passtack").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return name, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if name, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(name))
+	}
+	os.Exit(code)
+}
+
+// process is one life of a driver.
+type process struct {
+	command *exec.Cmd
+	life    *life
+	ended   chan struct{}
+	mutex   sync.Mutex
+	log     []string
+	pauses  sync.WaitGroup
+}
+
+const siteText = `{"name":"n0","listen":%q,"discovery":%q,"seed":"%016x",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
+"settings":{"areas":["a"],"tick_us":5000,"registry_mode":"automatic",
+"caps":{"connect_timeout_us":250000,"idle_close_us":15000000,"max_retry_after_us":1000000,"may_cancel":true,"most_tries":4},
+"classes":[%s],
+"family_info":{"answers_stamped":true,"behind":"hold","class_read":["recent","own_writes","update","update"],"lag_allowed_us":[800000,0,0,0],"write_marks":"client"},
+"report":{"columns":["x0","x1"],"how":"inline"}}}`
+
+const operatorText = `log {
+  level  = "debug"
+  sample = 0
+}
+`
+
+// startDriver starts a process and waits until it serves.
+func startDriver(t *testing.T, r *record, args ...string) *process {
+	t.Helper()
+	at, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{command: exec.Command(at, append([]string{"serve"}, args...)...), life: &life{started: time.Now()}, ended: make(chan struct{})}
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.command.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.mutex.Lock()
+	r.lives = append(r.lives, p.life)
+	r.mutex.Unlock()
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	serves := make(chan struct{}, 1)
+	go func() {
+		lines := bufio.NewScanner(out)
+		for lines.Scan() {
+			p.heard(r, lines.Text())
+			if strings.Contains(lines.Text(), "event=started") {
+				serves <- struct{}{}
+			}
+		}
+		p.command.Wait()
+		r.mutex.Lock()
+		p.life.ended = time.Now()
+		r.mutex.Unlock()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.pauses.Wait()
+		p.command.Process.Kill()
+		<-p.ended
+	})
+	select {
+	case <-serves:
+	case <-p.ended:
+		t.Fatalf("the driver ended at its start: %s", strings.Join(p.log, "\n"))
+	case <-time.After(20 * time.Second):
+		t.Fatalf("the driver does not serve")
+	}
+	return p
+}
+
+// heard takes a line of the log.
+func (p *process) heard(r *record, line string) {
+	if _, rest, found := strings.Cut(line, "event=request id="); found {
+		id, _, _ := strings.Cut(rest, " ")
+		r.wasRead(id)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.log = append(p.log, line)
+}
+
+// logged tells how many lines hold the text.
+func (p *process) logged(text string) (count int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, line := range p.log {
+		if strings.Contains(line, text) {
+			count++
+		}
+	}
+	return count
+}
+
+// about gives the lines that belong to one request.
+func (p *process) about(id string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var lines, marks []string
+	for _, line := range p.log {
+		if strings.Contains(line, " id="+id+" ") {
+			_, rest, _ := strings.Cut(line, " client=")
+			client, _, _ := strings.Cut(rest, " ")
+			marks = []string{" client=" + client + " "}
+		} else if len(marks) == 1 && strings.Contains(line, "event=rpc_taken") && strings.Contains(line, marks[0]) {
+			_, rest, _ := strings.Cut(line, " rpc=")
+			number, _, _ := strings.Cut(rest, " ")
+			marks = append(marks, " rpc="+number+" ")
+		}
+		for _, mark := range marks {
+			if strings.Contains(line, mark) {
+				lines = append(lines, line)
+				break
+			}
+		}
+		if len(lines) > 12 {
+			break
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (p *process) signal(s syscall.Signal) { p.command.Process.Signal(s) }
+
+// hold stops the process for a while, as a machine that gives it no time.
+func (p *process) hold(span time.Duration) {
+	p.pauses.Add(1)
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(span, func() {
+		p.signal(syscall.SIGCONT)
+		p.pauses.Done()
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/internal/soak/member_test.go
@@ -0,0 +1,255 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"passtack/internal/pgwire"
+)
+
+// member is a stand-in for one database server.
+type member struct {
+	number   int
+	leads    bool
+	listener net.Listener
+	record   *record
+	trouble  trouble
+
+	mutex  sync.Mutex
+	chance *rand.Rand
+	tokens map[string]bool // that have had their effect
+	began  time.Time
+}
+
+// trouble is what is wrong with one member.
+type trouble struct {
+	hangs       bool          // it takes requests and never answers, for as long as the run lasts
+	hangsFrom   time.Duration // since the member's start
+	latency     time.Duration
+	lateWelcome time.Duration // that a third of its connections take to come up
+	stops       float64       // part of the answers that stop short
+	resets      float64       // part of the requests under which the connection is reset
+}
+
+func startMember(t *testing.T, number int, r *record, what trouble, chance *rand.Rand) *member {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &member{number: number, leads: number == 0, listener: listener, record: r, trouble: what, chance: chance, tokens: make(map[string]bool), began: time.Now()}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+	return m
+}
+
+func (m *member) draws(part float64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.chance.Float64() < part
+}
+
+// state is what a member tells of itself before ReadyForQuery.
+func (m *member) state() []byte {
+	role := "follower"
+	if m.leads {
+		role = "leader"
+	}
+	out := pgwire.AppendParameter(nil, "node_role", role)
+	return pgwire.AppendParameter(out, "replay_position", fmt.Sprint(time.Now().UnixMilli()))
+}
+
+func (m *member) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	if _, err := readMessage(in); err != nil {
+		return
+	}
+	if m.trouble.lateWelcome > 0 && m.draws(0.33) {
+		time.Sleep(m.trouble.lateWelcome)
+	}
+	if _, err := c.Write(append(m.state(), pgwire.AppendWelcome(nil, 1, 1)...)); err != nil {
+		return
+	}
+	for {
+		kind, err := in.ReadByte()
+		if err != nil || kind != 'Q' {
+			return
+		}
+		text, err := readMessage(in)
+		if err != nil {
+			return
+		}
+		if !m.answer(c, strings.TrimRight(string(text), "\x00")) {
+			return
+		}
+	}
+}
+
+func readMessage(in *bufio.Reader) ([]byte, error) {
+	var length [4]byte
+	if _, err := io.ReadFull(in, length[:]); err != nil {
+		return nil, err
+	}
+	text := make([]byte, binary.BigEndian.Uint32(length[:])-4)
+	_, err := io.ReadFull(in, text)
+	return text, err
+}
+
+// value gives a field of a statement's comment.
+func value(statement, name string) string {
+	for _, prefix := range []string{" ", ","} {
+		if _, rest, found := strings.Cut(statement, prefix+name+"="); found {
+			return rest[:strings.IndexAny(rest+" ", ", ")]
+		}
+	}
+	return ""
+}
+
+// answer serves one statement and tells whether the connection goes on.
+func (m *member) answer(c net.Conn, statement string) bool {
+	if statement == "" {
+		_, err := c.Write(pgwire.AppendReady(append(m.state(), pgwire.AppendHead(nil, 'I', 0)...)))
+		return err == nil
+	}
+	id, at := value(statement, "id"), time.Now()
+	millis, _ := strconv.Atoi(value(statement, "d"))
+	writes := strings.Contains(statement, "INSERT")
+	a := arrival{member: m.number, at: at, told: time.Duration(millis) * time.Millisecond, ran: !writes || m.leads}
+	if token := value(statement, "k"); token != "" && a.ran {
+		m.mutex.Lock()
+		a.ran = !m.tokens[token]
+		m.tokens[token] = true
+		m.mutex.Unlock()
+	}
+	m.record.arrived(id, a)
+	if m.trouble.hangs && at.Sub(m.began) >= m.trouble.hangsFrom {
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		c.Read(make([]byte, 1)) // until the driver gives up
+		return false
+	}
+	if m.draws(m.trouble.resets) {
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	m.mutex.Lock()
+	wait := time.Duration(m.chance.Float64() * float64(m.trouble.latency))
+	m.mutex.Unlock()
+	time.Sleep(wait)
+	if writes && !m.leads {
+		_, err := c.Write(pgwire.AppendReady(append(pgwire.AppendError(nil, false, "25006", "no primary", -1), m.state()...)))
+		return err == nil
+	}
+	out := m.row("value of " + id)
+	if m.draws(m.trouble.stops) {
+		c.Write(out[:len(out)/2])
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		c.Read(make([]byte, 1))
+		return false
+	}
+	_, err := c.Write(out)
+	return err == nil
+}
+
+func (m *member) row(doc string) []byte {
+	out := append(pgwire.AppendHead(nil, 'T', 2+4+18), 0, 1, 'd', 'o', 'c', 0)
+	out = append(out, make([]byte, 18)...)
+	out = append(pgwire.AppendHead(out, 'D', 6+len(doc)), 0, 1, 0, 0, byte(len(doc)>>8), byte(len(doc)))
+	out = append(out, doc...)
+	out = append(pgwire.AppendHead(out, 'C', 9), "SELECT 1\x00"...)
+	return pgwire.AppendReady(append(out, m.state()...))
+}
+
+// discovery is a stand-in for the agent that tells drivers of members.
+type discovery struct {
+	record   *record
+	members  []*member
+	listener net.Listener
+	mutex    sync.Mutex
+	revision int
+	drained  map[int]int // by member: since which revision
+	changed  chan struct{}
+}
+
+func startDiscovery(t *testing.T, r *record, members []*member) *discovery {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &discovery{record: r, members: members, listener: listener, revision: 1, drained: make(map[int]int), changed: make(chan struct{})}
+	server := &http.Server{Handler: d}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return d
+}
+
+func (d *discovery) drain(member int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.revision++
+	d.drained[member] = d.revision
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// list words the members that have changed since a revision, or all.
+func (d *discovery) list(since int) string {
+	var targets []string
+	for _, m := range d.members {
+		changed, state := d.drained[m.number], "in_service"
+		if changed > 0 {
+			state = "terminating"
+		}
+		if since > 0 && changed <= since {
+			continue
+		}
+		targets = append(targets, fmt.Sprintf(`{"uid":"s-%d","endpoint":%q,"az":"a","pod_group":0,"state":%q,"capacity_hint":1,"boot_ms":0}`, m.number, m.listener.Addr(), state))
+	}
+	return fmt.Sprintf(`{"rev":%d,"all":%t,"targets":[%s]}`, d.revision, since == 0, strings.Join(targets, ","))
+}
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
+	d.mutex.Lock()
+	if changed := d.changed; since >= d.revision && hold > 0 {
+		d.mutex.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(hold) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		d.mutex.Lock()
+	}
+	text := d.list(since)
+	drained := make([]int, 0, len(d.drained))
+	for n := range d.drained {
+		drained = append(drained, n)
+	}
+	d.mutex.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	io.WriteString(w, text)
+	for _, n := range drained {
+		d.record.drains(n)
+	}
+}
