--- a/driver/seam.go
+++ b/driver/seam.go
@@ -52,10 +52,11 @@
 	Answer(to Client, a *Answer)
 	PushBack(to Client, comeBack time.Duration) // comeBack 0: none said
 	Abort(to Client)
-	Shut()                                  // takes no new connections; those that wait to be taken in still are
-	Leave()                                 // ends connections between RPCs; new ones are still served
-	Sweep(idle, patience time.Duration) int // ends what has rested for so long; counts what is left
-	Open() int                              // connections
+	Shut()                        // takes no new connections; those that wait to be taken in still are
+	Leave()                       // ends each connection as soon as nothing of it is served
+	Sweep(idle time.Duration) int // ends what has rested for so long; counts what is left
+	Finish()                      // ends all connections on which nothing is served, and reads no more
+	Open() int                    // connections
 }
 
 // Clerk takes the RPCs that fronts bring: came is when the last byte had, until when its client may leave. What RPC 0 was
--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -33,11 +33,13 @@
 }
 
 // Handler is one connection's protocol. Asking tells that something of it is served; Half tells the client that half of
-// something came and no more, and ends the connection.
+// something came and no more, and ends the connection. Refuse tells it that what came last was not begun, as the driver
+// shuts down, and ends the connection.
 type Handler interface {
 	loop.Owner
 	Asking() bool
 	Half()
+	Refuse()
 }
 
 // Connection is what the room knows of one connection.
@@ -277,34 +279,41 @@
 	return r.end(&r.waiting[0], hesitant) || r.end(&r.resting, 0) || r.end(&r.waiting[1], least)
 }
 
-// Leave ends connections between RPCs from now on; new ones are still served.
-func (r *Connections) Leave(ready func(Handler) bool) {
-	r.leaving = true
-	r.open.Each(func(_ slots.Handle, s *Connection) {
-		if ready(s.handler) && s.quiet() {
-			s.Close(ClosedShutdown)
-		}
-	})
-}
+// Leave ends each connection as soon as nothing of it is served.
+func (r *Connections) Leave() { r.leaving = true }
 
 // Shut takes no new connections; those that wait to be taken in still are.
 func (r *Connections) Shut() { r.listener.Drain() }
 
-// Sweep ends what has asked nothing for some time, and what has not moved for longer. It counts the clients that
-// remain.
-func (r *Connections) Sweep(idle, patience time.Duration) int {
-	r.open.Each(func(h slots.Handle, s *Connection) {
+// Sweep ends what has asked nothing for some time. It counts the clients that remain, and those that may yet be taken in
+// as one.
+func (r *Connections) Sweep(idle time.Duration) int {
+	r.open.Each(func(_ slots.Handle, s *Connection) {
 		if s.quiet() && r.loop.Now()-s.idle >= idle {
 			s.Close(ClosedShutdown)
-		} else if !s.handler.Asking() && r.loop.Now()-s.idle > patience {
-			s.closing(ClosedStuck)
-			s.Stream.Close()
-			r.open.Drop(h)
 		}
 	})
+	if !r.listener.Closed() {
+		return r.open.Count() + 1
+	}
 	return r.open.Count()
 }
 
+// Finish ends all connections on which nothing is served, without reading on. What was read of a request is refused: it was
+// not forwarded. What has not been read is left so, by which its client knows that it may ask elsewhere.
+func (r *Connections) Finish() {
+	r.listener.Close()
+	r.open.Each(func(_ slots.Handle, s *Connection) {
+		switch {
+		case s.Gone || s.handler.Asking():
+		case len(s.Stream.Unread()) > 0:
+			s.handler.Refuse()
+		default:
+			s.Close(ClosedShutdown)
+		}
+	})
+}
+
 // Handler gives who has the handle, nil where nobody does.
 func (r *Connections) Handler(h slots.Handle) Handler {
 	if s := r.open.Get(h); s != nil {
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -98,6 +98,12 @@
 	c.fail(&httpwire.Fault{Status: 408, Reason: "half of a request came and no more"})
 }
 
+// Refuse answers what was read and not begun.
+func (c *conn) Refuse() {
+	c.Stream.Send(c.front.message(pushedBack(0), "4.01", false, true))
+	c.Close(front.ClosedShutdown)
+}
+
 func (c *conn) Closed(cause error) {
 	c.Connection.Leave(cause)
 	c.letGo()
@@ -282,7 +288,8 @@
 	}
 }
 
-func (f *Front) Leave()                                 { f.connections.Leave(func(front.Handler) bool { return true }) }
-func (f *Front) Shut()                                  { f.connections.Shut() }
-func (f *Front) Sweep(idle, patience time.Duration) int { return f.connections.Sweep(idle, patience) }
-func (f *Front) Open() int                              { return f.connections.Count() }
+func (f *Front) Leave()                       { f.connections.Leave() }
+func (f *Front) Shut()                        { f.connections.Shut() }
+func (f *Front) Sweep(idle time.Duration) int { return f.connections.Sweep(idle) }
+func (f *Front) Finish()                      { f.connections.Finish() }
+func (f *Front) Open() int                    { return f.connections.Count() }
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -75,6 +75,12 @@
 // Half answers half of a message.
 func (c *client) Half() { c.fail("08P01", "half of a message came and no more") }
 
+// Refuse answers what was read and not begun.
+func (c *client) Refuse() {
+	c.Stream.Send(pgwire.AppendError(nil, true, "57P03", "the driver is shutting down", -1))
+	c.Close(front.ClosedShutdown)
+}
+
 func (c *client) Opened() {}
 
 func (c *client) Closed(cause error) {
@@ -375,14 +381,11 @@
 	c.Rest()
 }
 
-// Leave ends connections between RPCs from now on; new ones are still served.
-func (f *Front) Leave() {
-	f.connections.Leave(func(g front.Handler) bool { return g.(*client).started })
-}
-
 // Connections gives those that it holds.
 func (f *Front) Connections() *front.Connections { return f.connections }
 
-func (f *Front) Shut()                                  { f.connections.Shut() }
-func (f *Front) Sweep(idle, patience time.Duration) int { return f.connections.Sweep(idle, patience) }
-func (f *Front) Open() int                              { return f.connections.Count() }
+func (f *Front) Shut()                        { f.connections.Shut() }
+func (f *Front) Leave()                       { f.connections.Leave() }
+func (f *Front) Sweep(idle time.Duration) int { return f.connections.Sweep(idle) }
+func (f *Front) Finish()                      { f.connections.Finish() }
+func (f *Front) Open() int                    { return f.connections.Count() }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -16,16 +16,20 @@
 type source interface {
 	ready(events uint32)
 	broken(cause error) // a panic came while it was served
+	update()            // waits for the events that it needs now
 	Close()
 }
 
+// shortage is how long a call is left alone that the system had too little memory for.
+const shortage = 10 * time.Millisecond
+
 // Loop owns the descriptors and the due times.
 type Loop struct {
 	system        System
 	sources       slots.Table[source]
 	dues          due.Queue[func()]
-	now           time.Duration
-	events        []Event // as many as there may be descriptors: all that has closed is heard in one turn
+	now, before   time.Duration // of this turn, and of the one before it
+	events        []Event       // as many as there may be descriptors: all that has closed is heard in one turn
 	stopped       bool
 	spare         [][]byte  // read buffers of the common size that nobody uses
 	larger        int       // bytes that buffers of both directions take past the common size
@@ -62,6 +66,7 @@
 	l.Limit(most, budget)
 	l.MakeRoom = func() bool { return false }
 	l.now = system.Clock()
+	l.before = l.now
 	return l, nil
 }
 
@@ -80,6 +85,9 @@
 // Now is the time of this turn: all that happens in one turn happens at once.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// Before is the time of the turn before this one. What is heard in this turn may have come at any time since.
+func (l *Loop) Before() time.Duration { return l.before }
+
 // Clock is the time this moment, which may be later than that of the turn: for who measures what work takes.
 func (l *Loop) Clock() time.Duration { return l.system.Clock() }
 
@@ -130,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	l.now = l.system.Clock()
+	l.before, l.now = l.now, l.system.Clock()
 	for _, e := range l.events[:n] { // who has gone is heard before anything that could still be sent for it
 		if s, ok := l.sources.Get(e.Handle).(*Stream); ok && s.leaves(e.Ready) {
 			l.guard(func() { s.ready(e.Ready) }, s.broken)
@@ -193,10 +201,19 @@
 	return h, nil
 }
 
+// change waits for other events of a descriptor. Where the system is short of memory it is tried again: without it the
+// descriptor would never be served again.
 func (l *Loop) change(fd int, h slots.Handle, events uint32) {
-	if err := l.system.Watch(fd, h, events, false); err != nil {
-		slog.Error("poll_change_failed", "cause", err)
+	err := l.system.Watch(fd, h, events, false)
+	if err == nil {
+		return
 	}
+	slog.Warn("poll_change_failed", "cause", err)
+	l.At(l.now+shortage, func() {
+		if s := l.sources.Get(h); s != nil {
+			s.update()
+		}
+	})
 }
 
 func (l *Loop) drop(fd int, h slots.Handle, how func(fd int)) {
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -201,6 +201,11 @@
 	s.owner.Opened()
 }
 
+// passes tells of an error of read or write that says nothing of the connection: the call is made again.
+func passes(err error) bool {
+	return err == unix.EAGAIN || err == unix.EINTR || err == unix.ENOBUFS || err == unix.ENOMEM
+}
+
 func (s *Stream) read() {
 	if !s.space() {
 		s.starved = true
@@ -211,7 +216,7 @@
 	}
 	n, err := s.loop.system.Read(s.fd, s.buffer[len(s.buffer):cap(s.buffer)])
 	switch {
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case passes(err):
 		return
 	case err != nil:
 		s.fail(err)
@@ -418,7 +423,7 @@
 		s.out = append(s.out, part[gone:]...)
 	}
 	s.weighOut()
-	if err != nil && err != unix.EAGAIN && err != unix.EINTR {
+	if err != nil && !passes(err) {
 		s.loop.Later(func() { s.fail(err) })
 	} else if s.Unsent() > 0 {
 		s.update()
@@ -431,7 +436,7 @@
 func (s *Stream) flush() {
 	s.rest[0] = s.out[s.written:]
 	n, err := s.loop.system.Write(s.fd, s.rest[:])
-	if err == unix.EAGAIN || err == unix.EINTR {
+	if passes(err) {
 		return
 	} else if err != nil {
 		s.fail(err)
@@ -561,6 +566,8 @@
 	open   int // streams that came in here
 	larger int // bytes that their buffers take past the common size
 	paused bool
+	drains bool // it is closed once nobody waits to be taken in
+	closed bool
 }
 
 // Listen waits for connections at the address. Accept is called for each and names its owner. Near what the door
@@ -579,13 +586,17 @@
 	return n, nil
 }
 
-// acceptsATurn bounds how long newcomers keep the others waiting.
-const acceptsATurn = 64
+// What bounds how long newcomers keep the others waiting.
+const (
+	acceptsATurn  = 64
+	failuresATurn = 16 // then the listener rests for a moment
+)
 
 func (n *Listener) ready(uint32) { n.take() }
 
 // take takes newcomers in and tells whether there may be more.
 func (n *Listener) take() bool {
+	failed := 0
 	for range acceptsATurn {
 		if n.open >= n.Allowed() {
 			n.yield(true)
@@ -597,11 +608,16 @@
 			return false
 		}
 		fd, err := n.loop.system.Accept(n.fd)
-		if err == unix.ECONNABORTED || err == unix.EINTR {
-			continue
-		} else if err == unix.EAGAIN {
+		if err == unix.EAGAIN {
+			if n.drains {
+				n.Close()
+			}
 			return false
-		} else if err != nil {
+		}
+		if err != nil {
+			if failed++; isOfOneConnection(err) && failed < failuresATurn {
+				continue
+			}
 			n.pause()
 			return false
 		}
@@ -623,17 +639,39 @@
 
 func (n *Listener) broken(error) {}
 
+// isOfOneConnection tells of an error of accept that belongs to a connection which is gone, as accept(2) lists them. Others
+// may wait behind it.
+func isOfOneConnection(err error) bool {
+	switch err {
+	case unix.ECONNABORTED, unix.EINTR, unix.EPROTO, unix.ENOPROTOOPT, unix.ENETDOWN, unix.ENETUNREACH, unix.EHOSTDOWN,
+		unix.EHOSTUNREACH, unix.ENONET, unix.EOPNOTSUPP, unix.ETIMEDOUT, unix.EPERM:
+		return true
+	}
+	return false
+}
+
+func (n *Listener) update() {
+	if n.closed {
+		return
+	}
+	events := uint32(readable)
+	if n.paused {
+		events = 0
+	}
+	n.loop.change(n.fd, n.handle, events)
+}
+
 // pause lets newcomers wait until a descriptor is free, or a moment where the system is short of them.
 func (n *Listener) pause() {
 	if n.paused {
 		return
 	}
 	n.paused = true
-	n.loop.change(n.fd, n.handle, 0)
+	n.update()
 	resume := func() {
-		if n.paused && n.loop.sources.Get(n.handle) == source(n) {
+		if n.paused && !n.closed {
 			n.paused = false
-			n.loop.change(n.fd, n.handle, readable)
+			n.update()
 		}
 	}
 	n.loop.freed = append(n.loop.freed, resume)
@@ -641,15 +679,23 @@
 }
 
 // Close takes no connections any more, not even those that wait.
-func (n *Listener) Close() { n.loop.drop(n.fd, n.handle, n.loop.system.Close) }
+func (n *Listener) Close() {
+	if !n.closed {
+		n.closed = true
+		n.loop.drop(n.fd, n.handle, n.loop.system.Close)
+	}
+}
 
-// Drain takes the connections that wait and no more after them.
+// Drain takes the connections that wait, as soon as there is room for them, and then closes the listener.
 func (n *Listener) Drain() {
-	for n.take() {
+	n.drains = true
+	for !n.closed && !n.paused && n.take() {
 	}
-	n.loop.drop(n.fd, n.handle, n.loop.system.Close)
 }
 
+// Closed tells that no connections are taken any more.
+func (n *Listener) Closed() bool { return n.closed }
+
 // Datagrams is a UDP socket.
 type Datagrams struct {
 	loop   *Loop
@@ -686,6 +732,7 @@
 }
 
 func (d *Datagrams) broken(error) {}
+func (d *Datagrams) update()      { d.loop.change(d.fd, d.handle, readable) }
 
 // Close takes nothing any more.
 func (d *Datagrams) Close() { d.loop.drop(d.fd, d.handle, d.loop.system.Close) }
--- a/internal/loop/system.go
+++ b/internal/loop/system.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := unix.Connect(fd, address); err != nil && err != unix.EINPROGRESS {
+	if err := unix.Connect(fd, address); err != nil && err != unix.EINPROGRESS && err != unix.EINTR { // either goes on
 		unix.Close(fd)
 		return 0, err
 	}
@@ -189,17 +189,24 @@
 }
 
 func (k *kernel) Quiet(fd int) bool {
-	var one [1]byte
-	_, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := peek(fd)
 	return err == unix.EAGAIN
 }
 
 func (k *kernel) Pending(fd int) bool {
-	var one [1]byte
-	n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, err := peek(fd)
 	return err == nil && n > 0
 }
 
+// peek looks for a byte that has come, and leaves it there.
+func peek(fd int) (n int, err error) {
+	var one [1]byte
+	for err = unix.EINTR; err == unix.EINTR; {
+		n, _, err = unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}
+	return n, err
+}
+
 func (k *kernel) Arrived(fd int) time.Duration {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,11 +9,9 @@
 	"maps"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"passtack/driver"
@@ -83,8 +81,8 @@
 	lookAt        time.Duration // when the driver's way back is looked at next
 	partAt        time.Duration // when the fronts' shares are
 	fault         error
-	ending        time.Duration // when all must be answered, once a planned stop was begun
-	ends          time.Duration // when clients that are connected are served no more
+	signals       *signals
+	stop          *stop // nil: no planned stop was begun
 	lines         *logs.Lines
 
 	said      map[string]bool // by the module of late
@@ -98,7 +96,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("limits: %w", err)
 	}
-	return on(l, site, wants, false)
+	heard := hearSignals(l)
+	n, err := on(l, site, wants, false)
+	if err != nil {
+		return nil, err
+	}
+	n.signals = heard
+	return n, nil
 }
 
 // On is New on a loop that is there already, on whatever system; who gave it turns it.
@@ -212,10 +216,7 @@
 }
 
 const (
-	newcomers = 700 * time.Millisecond // connections may still come for so long after a planned stop was begun
-	repeated  = 5 * time.Second        // in which the same line of the module is logged once
-	mostTime  = 3 * time.Second        // SIGKILL leaves an RPC that came till then as much as that
-	look      = 20 * time.Millisecond  // between looks whether all is answered
+	repeated = 5 * time.Second // in which the same line of the module is logged once
 
 	lookingBack = 50 * time.Millisecond // between looks how far a driver has come back
 	buffers     = 4                     // a quarter of the memory may hold long messages
@@ -229,45 +230,14 @@
 	debug.SetMemoryLimit(n.site.Memory * 3 / 4)
 	n.lines = logs.To(os.Stderr)
 	defer n.lines.End()
-	signals := make(chan os.Signal, 8)
-	heard := make(chan func(), 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	n.lines.Level.Set(n.wants.Level)
 	n.lines.Sample.Store(n.wants.Sample)
-	again := func() {
-		site := *n.site
-		go func() { // where nobody waits for it
-			fresh, err := site.again()
-			wants, wrong := site.Wants()
-			heard <- func() { n.reload(fresh, wants, errors.Join(err, wrong)) }
-			n.loop.Ring()
-		}()
-	}
-	go func() {
-		for s := range signals {
-			act := n.leave
-			switch s {
-			case syscall.SIGUSR1:
-				act = n.print
-			case syscall.SIGHUP:
-				act = again
-			}
-			heard <- act
-			n.loop.Ring()
-		}
-	}()
+	n.signals.follow(n.readAgain)
 	defer n.work()()
 	slog.Info("started", "name", n.site.Name, "listen", n.site.Listen, "discovery", n.site.Discovery)
 	err := n.loop.Run(func() {
 		n.hearWorkers()
-		for {
-			select {
-			case act := <-heard:
-				act()
-			default:
-				return
-			}
-		}
+		n.hear()
 	})
 	n.print()
 	slog.Info("stopped", "name", n.site.Name)
@@ -316,54 +286,6 @@
 		"needs_restart", strings.TrimPrefix(restart, ","))
 }
 
-func (n *Node) leave() {
-	if n.ending != 0 {
-		return
-	}
-	slog.Info("leaving", "rpcs", n.rpcs.Count(), "clients", n.open())
-	if n.leases != nil {
-		n.leases.leave()
-	}
-	if n.view != nil {
-		n.view.seen.Leave(n.loop.Clock())
-	}
-	begun, left := n.loop.Now(), min(n.site.longest(), mostTime)
-	n.ends, n.ending = begun+newcomers+left/2, begun+newcomers+left-look
-	for phase, at := range map[string]time.Duration{"not_accepting": begun + newcomers, "closing": n.ends, "all_answered": n.ending} {
-		n.loop.At(at, func() {
-			slog.Info("shutdown", "phase", phase, "after_ms", (n.loop.Now() - begun).Milliseconds(), "rpcs", n.rpcs.Count(), "clients", n.open())
-		})
-	}
-	n.loop.At(begun+newcomers, func() {
-		for _, d := range n.doors {
-			d.front.Shut()
-		}
-		n.loop.At(n.loop.Now()+look, n.stopWhenDone)
-	})
-}
-
-// stopWhenDone serves those who are connected and go on asking: until the next start nobody else may be there for
-// them.
-func (n *Node) stopWhenDone() {
-	idle := newcomers
-	leave := n.loop.Now() >= n.ends
-	if leave {
-		idle = 0
-	}
-	open := 0
-	for _, d := range n.doors {
-		if leave {
-			d.front.Leave()
-		}
-		open += d.front.Sweep(idle, newcomers) + d.rpcs // of some nobody waits for the outcome, yet may ask for it
-	}
-	if open == 0 {
-		n.loop.Stop()
-		return
-	}
-	n.loop.At(n.loop.Now()+look, n.stopWhenDone)
-}
-
 // open counts the connections of clients.
 func (n *Node) open() (open int) {
 	for _, d := range n.doors {
@@ -405,8 +327,12 @@
 func (n *Node) Take(by driver.Front, from driver.Client, method driver.Method, group driver.Group,
 	session driver.Session, came, until, wrote time.Duration, repeat bool) driver.RPC {
 	n.Count("rpcs_taken")
-	if n.ending != 0 {
-		until = min(until, n.ending)
+	until, may := n.mayForward(until)
+	if !may {
+		n.Count("rpcs_refused_in_stop")
+		slog.Debug("rpc_refused", "client", from, "reason", "shutdown")
+		by.PushBack(from, 0)
+		return 0
 	}
 	d := n.byFront[by]
 	q := &rpc{door: d, client: from, side: n.pools[n.FormOf(group)], until: until, group: group}
--- a/rules/reasons.go
+++ b/rules/reasons.go
@@ -18,9 +18,11 @@
 	NoRetry
 	// ClientParted means that the client sends no more and nothing was out for it.
 	ClientParted
+	// ShuttingDown means that the driver ends before the client's deadline.
+	ShuttingDown
 )
 
-var reasonNames = [...]string{"none", "no_time_left", "too_slow", "no_member", "no_answer", "no_retry", "client_parted"}
+var reasonNames = [...]string{"none", "no_time_left", "too_slow", "no_member", "no_answer", "no_retry", "client_parted", "shutting_down"}
 
 // String gives the reason as logs have it.
 func (r Reason) String() string { return reasonNames[r] }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -779,6 +779,13 @@
 	}
 }
 
+// CutOff gives an RPC its final answer now: the driver ends before its client's deadline.
+func (r *Router) CutOff(id driver.RPC) {
+	if q := r.rpcs[id]; q != nil && !q.answered {
+		r.giveUp(q, 0, ShuttingDown)
+	}
+}
+
 // ClientParts takes what is out as the last attempt of an RPC.
 func (r *Router) ClientParts(id driver.RPC) {
 	if q := r.rpcs[id]; q != nil {
