--- /dev/null
+++ b/internal/loop/sim/drain_test.go
@@ -0,0 +1,101 @@
+package sim
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"passtack/internal/loop"
+	"passtack/internal/pcg"
+)
+
+// mute is an owner that listens to nothing.
+type mute struct{}
+
+func (mute) Opened()             {}
+func (mute) Input(in []byte) int { return len(in) }
+func (mute) Closed(error)        {}
+func (mute) Panicked(error)      {}
+
+// shortage is a system whose accept fails for a while.
+type shortage struct {
+	loop.System
+	cause error
+}
+
+func (s *shortage) Accept(fd int) (int, error) {
+	if s.cause != nil {
+		return 0, s.cause
+	}
+	return s.System.Accept(fd)
+}
+
+// A listener that is shut takes in who waits, also where the system or the limit has no descriptor just then.
+func TestAShutListenerTakesInWhoWaits(t *testing.T) {
+	const start = 1000 * time.Second
+	for name, cause := range map[string]error{
+		"the limit": nil, "ENFILE": unix.ENFILE, "ENOBUFS": unix.ENOBUFS, "ENETDOWN": unix.ENETDOWN,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := New(1, start)
+			system := &shortage{w.Host("driver"), cause}
+			l, err := loop.On(system, 100, 1<<20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.Hosts()[0].Serve(l, func() {})
+			at, taken, allowed := netip.MustParseAddrPort("10.0.0.1:5432"), 0, 0
+			if cause != nil {
+				allowed = 50
+			}
+			door := loop.Door{Descriptors: func(int) int { return allowed }}
+			listener, err := l.Listen(at, 1<<10, door, func(open func(loop.Owner) *loop.Stream) {
+				open(mute{})
+				taken++
+			}, func(bool) {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			clients, err := loop.On(w.Host("clients"), 100, 1<<20)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.Hosts()[1].Serve(clients, func() {})
+			clients.Later(func() {
+				for range 8 {
+					clients.Dial(at, mute{}, 1<<10)
+				}
+			})
+			w.At(start+50*time.Millisecond, func() { l.At(w.Now(), listener.Drain) })
+			w.At(start+400*time.Millisecond, func() {
+				if taken > 0 || listener.Closed() {
+					t.Errorf("%d are taken in already, closed: %t", taken, listener.Closed())
+				}
+				system.cause, allowed = nil, 50
+			})
+			w.Run(start + time.Second)
+			if taken != 8 || !listener.Closed() {
+				t.Errorf("%d of 8 are taken in, closed: %t", taken, listener.Closed())
+			}
+		})
+	}
+}
+
+// The same seed fails the same calls.
+func TestFaultsAreSeeded(t *testing.T) {
+	draw := func() (all []error) {
+		f := &Faults{Chance: pcg.New(3), Part: 0.3, Failed: make(map[string]int)}
+		for range 50 {
+			all = append(all, f.fails("read", unix.EINTR, unix.ENOMEM))
+		}
+		return all
+	}
+	first, second := draw(), draw()
+	for i := range first {
+		if first[i] != second[i] {
+			t.Fatalf("call %d: %v, then %v", i, first[i], second[i])
+		}
+	}
+}
--- a/internal/node/gone_test.go
+++ b/internal/node/gone_test.go
@@ -127,6 +127,11 @@
 
 // newSceneWith gives the driver a file of its operator too.
 func newSceneWith(t *testing.T, change func(map[string]string), descriptors int, wanted string) *scene {
+	return newSceneOn(t, change, descriptors, wanted, func(h *sim.Host) loop.System { return h })
+}
+
+// newSceneOn lets the driver run on a system of the test's own.
+func newSceneOn(t *testing.T, change func(map[string]string), descriptors int, wanted string, system func(*sim.Host) loop.System) *scene {
 	slog.SetDefault(slog.New(slog.DiscardHandler))
 	s := &scene{t: t, world: sim.New(1, epoch), sent: make(map[string][]time.Duration)}
 	on := func(h *sim.Host) *loop.Loop {
@@ -160,7 +165,7 @@
 		change(site.Terms)
 	}
 	s.driver = s.world.Host("d")
-	l, err := loop.On(s.driver, descriptors, 16<<20)
+	l, err := loop.On(system(s.driver), descriptors, 16<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
