Shortages: files and sockets of the start and of a reload are waited for; fresh clock at each write

A reload whose file cannot be opened for a while (ENFILE, EIO) was given up after half a second, so a driver never moved to the new discovery; a start ended. The deadline told to a member and the last moment of a write are taken from the clock at the write, not from the start of the turn. Where the system does not tell when input came, the turn before counts, not this one.

--- a/internal/loop/sim/sockets.go
+++ b/internal/loop/sim/sockets.go
@@ -366,11 +366,11 @@
 	return s != nil && len(s.in) > 0
 }
 
-func (h *Host) Arrived(fd int) time.Duration {
+func (h *Host) Arrived(fd int) (ago time.Duration, ok bool) {
 	if s := h.sockets[fd]; s != nil && s.latest != 0 {
-		return (h.world.now - s.latest).Truncate(time.Millisecond)
+		return (h.world.now - s.latest).Truncate(time.Millisecond), true
 	}
-	return 0
+	return 0, true
 }
 
 func (h *Host) Goodbye(fd int) {
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -245,7 +245,10 @@
 	for len(s.arrivals) > 0 && s.arrivals[0].upTo <= taken {
 		s.arrivals = append(s.arrivals[:0], s.arrivals[1:]...)
 	}
-	at := s.loop.now - s.loop.system.Arrived(s.fd)
+	at := s.loop.before // where the system does not tell: no earlier than the turn before, which would have read it
+	if ago, ok := s.loop.system.Arrived(s.fd); ok {
+		at = s.loop.now - ago
+	}
 	if s.behind > 0 {
 		if at = min(at, s.behind); !s.loop.system.Pending(s.fd) { // all that waited has been read
 			s.behind = 0
--- a/internal/loop/system.go
+++ b/internal/loop/system.go
@@ -41,11 +41,11 @@
 
 	Read(fd int, into []byte) (int, error)
 	Write(fd int, parts [][]byte) (int, error)
-	Outcome(fd int) error         // of a connect that is over
-	Quiet(fd int) bool            // neither ended nor something to read
-	Pending(fd int) bool          // something to read has come
-	Arrived(fd int) time.Duration // how long ago the latest byte came
-	Goodbye(fd int)               // ends the sending side
+	Outcome(fd int) error                        // of a connect that is over
+	Quiet(fd int) bool                           // neither ended nor something to read
+	Pending(fd int) bool                         // something to read has come
+	Arrived(fd int) (ago time.Duration, ok bool) // when the latest byte came
+	Goodbye(fd int)                              // ends the sending side
 	Take(fd int, into []byte) (n int, from netip.AddrPort, err error)
 	Send(fd int, to netip.AddrPort, text []byte)
 	Close(fd int)
@@ -207,12 +207,12 @@
 	return n, err
 }
 
-func (k *kernel) Arrived(fd int) time.Duration {
+func (k *kernel) Arrived(fd int) (ago time.Duration, ok bool) {
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	if err != nil {
-		return 0
+		return 0, false
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
 func (k *kernel) Goodbye(fd int) { unix.Shutdown(fd, unix.SHUT_WR) }
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -195,7 +195,7 @@
 	m := p.members[to]
 	c := &call{rpc: rpc, n: n, to: to, sent: now, by: min(by, until), until: until}
 	c.handle = p.calls.Put(c)
-	if c.handle == 0 || m == nil || c.by <= now {
+	if c.handle == 0 || m == nil || c.by <= p.loop.Clock() {
 		p.loop.Later(func() { p.end(c, driver.Moot, nil) })
 		return uint32(c.handle)
 	}
@@ -428,10 +428,10 @@
 	return WhollyWritten
 }
 
-// write sends the attempt, with the time that is left for it.
+// write sends the attempt, with the time that is left for it at this moment: the turn may have taken long.
 func (k *conn) write(ask *driver.Ask) {
 	k.begun, k.failed, k.written = false, false, true
-	k.stream.Send(k.pool.tongue.Call(ask, max(k.call.until-k.pool.loop.Now(), time.Millisecond))...)
+	k.stream.Send(k.pool.tongue.Call(ask, max(k.call.until-k.pool.loop.Clock(), time.Millisecond))...)
 }
 
 func (k *conn) probe() {
@@ -448,7 +448,7 @@
 		k.drop()
 	case c.probe:
 		k.probe()
-	case k.pool.loop.Now() >= c.by: // it came up after this driver stood still
+	case k.pool.loop.Clock() >= c.by: // it came up after this driver stood still
 		k.call, c.conn = nil, nil
 		k.rest()
 		k.pool.loop.Later(func() { k.pool.expire(c.handle) })
--- a/internal/node/doors.go
+++ b/internal/node/doors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"reflect"
 	"slices"
 	"time"
@@ -39,22 +40,7 @@
 		if !at.IsValid() {
 			at = n.site.Listen
 		}
-		var err error
-		switch f.Protocol {
-		case "pg":
-			var portal *pgfront.Front
-			if portal, err = pgfront.Listen(n.loop, n, at, d.limits(), open, names, sessions, tokened,
-				n.site.Seed+uint64(d.number)); err == nil {
-				d.front, d.connections = portal, portal.Connections()
-			}
-		case "odata":
-			var offices *odatafront.Front
-			if offices, err = odatafront.Listen(n.loop, n, at, d.limits(), open, f.OData, names, n.wants.Root,
-				n.site.Seed+uint64(d.number)); err == nil {
-				d.front, d.connections = offices, offices.Connections()
-				n.recallRepeats(f.Name, offices)
-			}
-		}
+		err := n.patiently(func() error { return n.listenAt(d, f, at, open, names, sessions, tokened) })
 		if err != nil {
 			return fmt.Errorf("front %s, listen %s: %w", f.Name, at, err)
 		}
@@ -64,6 +50,27 @@
 	return nil
 }
 
+// listenAt opens one front.
+func (n *Node) listenAt(d *door, f *operator.Front, at netip.AddrPort, open front.Ids, names []string, sessions, tokened []bool) error {
+	seed := n.site.Seed + uint64(d.number)
+	switch f.Protocol {
+	case "pg":
+		portal, err := pgfront.Listen(n.loop, n, at, d.limits(), open, names, sessions, tokened, seed)
+		if err != nil {
+			return err
+		}
+		d.front, d.connections = portal, portal.Connections()
+	case "odata":
+		offices, err := odatafront.Listen(n.loop, n, at, d.limits(), open, f.OData, names, n.wants.Root, seed)
+		if err != nil {
+			return err
+		}
+		d.front, d.connections = offices, offices.Connections()
+		n.recallRepeats(f.Name, offices)
+	}
+	return nil
+}
+
 // limits bounds what a door's connections hold by its share.
 func (d *door) limits() loop.Door {
 	ask := func(kind share.Kind) func(int) int {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,7 +92,11 @@
 // New opens all sockets; Run serves.
 func New(site *Site, wants *operator.File) (*Node, error) {
 	debug.SetMemoryLimit(site.Memory * 3 / 4)
-	l, err := loop.New(site.Descriptors, int(site.Memory/buffers))
+	var l *loop.Loop
+	err := throughShortage(func() (err error) {
+		l, err = loop.New(site.Descriptors, int(site.Memory/buffers))
+		return err
+	})
 	if err != nil {
 		return nil, fmt.Errorf("limits: %w", err)
 	}
@@ -130,13 +134,16 @@
 	l.MakeRoom = n.makeRoom
 	n.list = list.New(l, n, site.Discovery)
 	if site.PeerListen.IsValid() {
-		n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, func(from driver.Peer, text []byte) {
+		take := func(from driver.Peer, text []byte) {
 			n.Count("peer_texts_taken")
 			if n.talk == nil || !n.talk.take(from, text) {
 				n.module.Told(from, text)
 			}
-		})
-		if err != nil {
+		}
+		if err = n.patiently(func() (err error) {
+			n.peers, err = peers.Listen(l, site.PeerListen, site.PeerAll, site.Peers, take)
+			return err
+		}); err != nil {
 			return nil, fmt.Errorf("peer_listen %s: %w", site.PeerListen, err)
 		}
 	}
@@ -159,7 +166,10 @@
 		return nil, err
 	}
 	if wants.Control.IsValid() {
-		if _, err := control.Listen(l, wants.Control, n.answers()); err != nil {
+		if err := n.patiently(func() error {
+			_, err := control.Listen(l, wants.Control, n.answers())
+			return err
+		}); err != nil {
 			return nil, fmt.Errorf("control listen %s: %w", wants.Control, err)
 		}
 	}
@@ -171,6 +181,14 @@
 	return n, nil
 }
 
+// patiently opens what the driver needs at its start, through a shortage of the system. In simulated time there is none.
+func (n *Node) patiently(open func() error) error {
+	if n.simulated {
+		return open()
+	}
+	return throughShortage(open)
+}
+
 // Comeback tells how far the driver has come back since its start.
 func (n *Node) Comeback() comeback.Stage { return n.back.Stage() }
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -35,7 +35,11 @@
 
 // ReadSite reads the file, over which the environment goes.
 func ReadSite(file string, environment func(string) string) (*Site, error) {
-	text, err := os.ReadFile(file)
+	var text []byte
+	err := throughShortage(func() (err error) {
+		text, err = os.ReadFile(file)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -107,11 +111,15 @@
 }
 
 // Wants reads the operator's file, where there is one.
-func (s *Site) Wants() (*operator.File, error) {
+func (s *Site) Wants() (wants *operator.File, err error) {
 	if s.Operator == "" {
 		return operator.None(), nil
 	}
-	return operator.Read(s.Operator, s.Listen, offered(s.Terms))
+	err = throughShortage(func() (err error) {
+		wants, err = operator.Read(s.Operator, s.Listen, offered(s.Terms))
+		return err
+	})
+	return wants, err
 }
 
 // Parse is Wants of a text.
