--- a/driver/seam.go
+++ b/driver/seam.go
@@ -44,6 +44,7 @@
 	Status   int           // of a request's answer
 	Fields   []byte        // of a request's answer, as they came
 	Position time.Duration // of the member's log, for a write its commit; 0: not told
+	Told     time.Duration // the same as it was told, also where it is not believed
 }
 
 // Front is one protocol with clients. Each of its clients hears one answer for each RPC.
@@ -67,6 +68,7 @@
 	ClientParts(rpc RPC) // it may have left, or only reads on: what is out is waited for, nothing more is sent
 	FormOf(group Group) Form
 	Count(what string)
+	MembersNow() time.Duration // the time by the clock that members tell positions by
 }
 
 // Side is one protocol with members, and the connections to those who speak it.
--- a/internal/front/odata/errand.go
+++ b/internal/front/odata/errand.go
@@ -81,7 +81,7 @@
 	} else if e.key.Text == "" {
 		session = 0
 	}
-	position := member.Position([]byte(e.question.fields.Text("session-position")), now, 0)
+	position := member.Position([]byte(e.question.fields.Text("session-position")), f.clerk.MembersNow(), 0)
 	if position = max(position, floor); e.act.Writes() {
 		position = 0
 	}
@@ -91,7 +91,7 @@
 	e.word(method, token, position)
 	wrote := time.Duration(0)
 	if position > 0 {
-		wrote = max(1, now-position)
+		wrote = max(1, f.clerk.MembersNow()-position)
 	}
 	e.rpc = f.clerk.Take(f, driver.Client(e.handle), method, e.group, session, e.question.came, until, wrote, false)
 }
--- a/internal/front/pg/pg.go
+++ b/internal/front/pg/pg.go
@@ -265,7 +265,7 @@
 	millis, err := strconv.ParseInt(string(limit), 10, 32)
 	in, wrong := strconv.ParseUint(string(group), 10, 16)
 	commit, none := strconv.ParseInt(string(after), 10, 64)
-	if none != nil || commit < 0 || commit > int64((f.loop.Now()+time.Second)/time.Millisecond) { // nobody has it yet
+	if none != nil || commit < 0 || commit > int64((f.clerk.MembersNow()+time.Second)/time.Millisecond) { // nobody has it yet
 		odd = odd || len(after) > 0
 	}
 	if !known || err != nil || millis <= 0 || wrong != nil || odd || len(rest) == 0 || len(id) == 0 ||
@@ -286,7 +286,7 @@
 		session = front.SessionOf(key)
 	}
 	if commit > 0 {
-		wrote = max(1, f.loop.Now()-time.Duration(commit)*time.Millisecond)
+		wrote = max(1, f.clerk.MembersNow()-time.Duration(commit)*time.Millisecond)
 	}
 	// Its time counts from its last byte, also while it waits behind another: its client leaves by its own clock.
 	came := c.Stream.Came(size)
--- a/internal/loop/sim/sockets.go
+++ b/internal/loop/sim/sockets.go
@@ -96,7 +96,7 @@
 	return events & (s.wants | unix.EPOLLERR | unix.EPOLLHUP)
 }
 
-func (h *Host) Clock() time.Duration { return h.world.now }
+func (h *Host) Clock() time.Duration { return h.world.now + h.Ahead }
 func (h *Host) Held() (int, error)   { return 3, nil }
 func (h *Host) Ring() {
 	h.bell = true
--- a/internal/loop/sim/world.go
+++ b/internal/loop/sim/world.go
@@ -226,6 +226,7 @@
 	Name  string
 	Cost  time.Duration // of a turn of its loop, in which it does nothing else
 	Turns int           // of its loops so far
+	Ahead time.Duration // of the world's clock, by which its own is; to be set before its loop is made
 
 	world   *World
 	number  int
@@ -251,7 +252,7 @@
 // Do lets the program's loop call, in its next turn.
 func (h *Host) Do(act func()) {
 	if h.loop != nil {
-		h.loop.At(h.world.now, act)
+		h.loop.At(h.world.now+h.Ahead, act)
 		h.change()
 	}
 }
@@ -294,6 +295,8 @@
 		at, ok = h.world.now, true
 	} else if at, ok = h.loop.NextDue(); !ok {
 		return 0, false
+	} else {
+		at -= h.Ahead
 	}
 	return max(at, h.free, h.paused), true
 }
--- a/internal/member/notes.go
+++ b/internal/member/notes.go
@@ -32,13 +32,22 @@
 	return into
 }
 
+// Told reads a position in milliseconds, 0 where there is none.
+func Told(text []byte) time.Duration {
+	millis, err := strconv.ParseInt(string(text), 10, 64)
+	if err != nil || millis <= 0 || millis > math.MaxInt64/int64(time.Millisecond) {
+		return 0
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // Position reads a position in milliseconds; one that cannot be is not believed.
 func Position(text []byte, now, otherwise time.Duration) time.Duration {
-	millis, err := strconv.ParseInt(string(text), 10, 64)
-	if latest := now + Ahead; err != nil || millis <= 0 || millis > int64(latest/time.Millisecond) {
+	told := Told(text)
+	if told == 0 || told > now+Ahead {
 		return otherwise
 	}
-	return time.Duration(millis) * time.Millisecond
+	return told
 }
 
 // Role reads what a member says that it is.
--- a/internal/member/odata/odata.go
+++ b/internal/member/odata/odata.go
@@ -69,6 +69,7 @@
 	h.Answer.Form, h.Answer.Status, h.Answer.Fields, h.Answer.Value = driver.Requests, r.Status, r.Fields, r.Body
 	if text, _ := r.Fields.Get("replay-position"); text != nil {
 		h.Answer.Position = member.Position(text, now, 0)
+		h.Answer.Told = member.Told(text)
 	}
 	if text, _ := r.Fields.Get("node-role"); text != nil {
 		h.Role = member.Role(text, driver.Unknown)
--- a/internal/member/pg/pg.go
+++ b/internal/member/pg/pg.go
@@ -115,6 +115,7 @@
 	switch string(name) {
 	case "replay_position":
 		h.Answer.Position = member.Position(value, now, h.Answer.Position)
+		h.Answer.Told = member.Told(value)
 	case "node_role":
 		h.Role = member.Role(value, h.Role)
 	case "server_load":
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -114,6 +114,7 @@
 	connectIn time.Duration
 	idleFor   time.Duration // a member closes what was idle for so long
 	heard     Heard
+	offset    time.Duration // by which the members' clock is ahead of the loop's
 	opens     *comeback.Opens
 	crowded   chain.Chain[*member] // some attempts wait for connections to these
 }
@@ -177,6 +178,9 @@
 	p.connectIn, p.idleFor = connectIn, idleFor-idleFor/8
 }
 
+// Offset tells by how much the clock that members tell positions by is ahead of the loop's.
+func (p *Pool) Offset(ahead time.Duration) { p.offset = ahead }
+
 // Place tells where a member listens. Connections to an earlier address are not used again.
 func (p *Pool) Place(id driver.Member, at netip.AddrPort) {
 	m := p.members[id]
@@ -488,7 +492,7 @@
 	p := k.pool
 	h := &p.heard
 	*h = Heard{Begun: k.begun, Report: h.Report[:0], Answer: driver.Answer{Parts: h.Answer.Parts[:0]}}
-	p.tongue.Hear(in, k.ready, k.call != nil && k.call.probe, ended, p.loop.Now(), h)
+	p.tongue.Hear(in, k.ready, k.call != nil && k.call.probe, ended, p.loop.Now()+p.offset, h)
 	k.begun, k.failed, k.how = h.Begun, h.Failed, h.How
 }
 
--- a/internal/node/drains.go
+++ b/internal/node/drains.go
@@ -94,7 +94,7 @@
 		p := d.places[h.Member]
 		n.Count("drains_heard")
 		slog.Info("drain_heard", "member", n.uids[p.member])
-		n.module.Listed(p.member, p.zone, p.group, driver.Draining, p.size, h.Started, false)
+		n.module.Listed(p.member, p.zone, p.group, driver.Draining, p.size, n.byOwnClock(h.Started), false)
 	}
 	if begun {
 		n.module.ListEnds(driver.Changes)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"passtack/driver"
 	"passtack/internal/comeback"
 	"passtack/internal/control"
+	"passtack/internal/fleetclock"
 	"passtack/internal/list"
 	"passtack/internal/logs"
 	"passtack/internal/loop"
@@ -41,6 +42,7 @@
 	calls    []uint32
 	out      int
 	answered bool
+	cutOff   bool           // the module was told to answer it now
 	last     driver.Outcome // of the attempt that ended last
 	overdue  loop.Due
 }
@@ -81,6 +83,7 @@
 	lookAt        time.Duration // when the driver's way back is looked at next
 	partAt        time.Duration // when the fronts' shares are
 	fault         error
+	clock         fleetclock.Clock // how the members' clock stands to the loop's
 	signals       *signals
 	stop          *stop // nil: no planned stop was begun
 	lines         *logs.Lines
@@ -450,6 +453,10 @@
 	q.last = how
 	if role == driver.Primary {
 		n.back.Proven(uint16(q.group))
+		n.hearClock(a.Told)
+	}
+	if pos > 0 {
+		pos -= n.clock.Offset()
 	}
 	if how == driver.OK {
 		if q := n.answered(id, "ok"); q != nil {
@@ -489,7 +496,7 @@
 	if n.view != nil {
 		n.view.drains.listed(uid, listedAs{m, in, group, size}, state, started, n.listing != driver.Cached)
 	}
-	n.module.Listed(m, in, group, state, size, started, primary)
+	n.module.Listed(m, in, group, state, size, n.byOwnClock(started), primary)
 }
 
 // place tells the side that speaks with the member's group where it listens.
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -38,20 +38,19 @@
 	n.followStop()
 }
 
-// followStop does what the phase of the planned stop asks for, until no client is left.
+// followStop does what the phase of the planned stop asks for, until no client is left. It comes again whatever befalls it.
 func (n *Node) followStop() {
 	now := n.loop.Now()
 	phase := n.stop.plan.Phase(now)
-	n.logPhase(phase, now)
-	if phase > shutdown.Accepting && n.endClients(phase) == 0 {
-		n.loop.Stop()
-		return
-	}
 	at := now + look
 	if next, ok := n.stop.plan.Next(now); ok {
 		at = min(at, next)
 	}
 	n.loop.At(at, n.followStop)
+	n.logPhase(phase, now)
+	if phase > shutdown.Accepting && n.endClients(phase) == 0 {
+		n.loop.Stop()
+	}
 }
 
 func (n *Node) logPhase(phase shutdown.Phase, now time.Duration) {
@@ -83,20 +82,31 @@
 	return left
 }
 
-// answerAll gives a final answer to each RPC that has none: its client has more time, this driver has not.
+// answerAll gives a final answer to each RPC that has none: its client has more time, this driver has not. Each is answered by
+// itself, so that a fault of the module at one leaves the others alone.
 func (n *Node) answerAll() {
 	n.rpcs.Each(func(h slots.Handle, q *rpc) {
-		if q.answered {
-			return
-		}
-		id := driver.RPC(h)
-		n.Count("rpcs_cut_off")
-		if n.module.CutOff(id); !q.answered { // the module does not know it
-			n.Abort(id)
+		if !q.answered {
+			n.loop.Later(func() { n.cutOff(driver.RPC(h)) })
 		}
 	})
 }
 
+// cutOff lets the module answer an RPC, and aborts it where that has failed before.
+func (n *Node) cutOff(id driver.RPC) {
+	q := n.get(id)
+	if q == nil || q.answered {
+		return
+	}
+	if q.cutOff {
+		n.Abort(id)
+		return
+	}
+	q.cutOff = true
+	n.Count("rpcs_cut_off")
+	n.module.CutOff(id)
+}
+
 // mayForward tells whether an RPC that is read now may still go to a member, and bounds the time by which it has its answer.
 func (n *Node) mayForward(until time.Duration) (time.Duration, bool) {
 	if n.stop == nil {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -150,7 +150,8 @@
 	came, fresh, ready   float64 // recent work asked for, of it by first tries; members to send to
 	cameAt               time.Duration
 	held                 []*rpc
-	reason               Reason // of the latest RPC that was given up
+	reason               Reason        // of the latest RPC that was given up
+	offset, doubt        time.Duration // of the members' clock: ahead of the host's, and perhaps behind that
 }
 
 const never = driver.LongAgo // before all other times
@@ -384,9 +385,12 @@
 }
 
 func (r *Router) cold(m *member, now time.Duration) bool {
-	return m.started != never && now-m.started < r.terms.Span("rules.cold_lasts")
+	return m.started != never && r.age(m, now) < r.terms.Span("rules.cold_lasts")
 }
 
+// age is how long ago a member started, at least: starts are told by another clock.
+func (r *Router) age(m *member, now time.Duration) time.Duration { return now - r.doubt - m.started }
+
 // coldRoom keeps the fourth rule: what a cold member gets stays within this driver's part of a budget taken
 // from what warm ones answer, rounded to whole RPCs by dice that are cast once a window. A driver that has
 // an RPC for it in few windows only would use little of its part: there the dice count for what it asks of
@@ -403,7 +407,7 @@
 		g.dice, g.diceAt = r.chance.Float(), now
 	}
 	multiple, share := r.terms.Number("rules.cold_multiple", 1), r.terms.Number("rules.cold_share", 1)
-	share += (1 - share) * max(0, float64(now-m.started)/float64(r.terms.Span("rules.cold_lasts")))
+	share += (1 - share) * max(0, float64(r.age(m, now))/float64(r.terms.Span("rules.cold_lasts")))
 	all, left := m.group.takers(q)
 	work, borne := q.method.usual.Seconds(), max(r.borne, r.recent(r.fresh, now-r.cameAt)/float64(len(r.all))/2)
 	asked := max(borne, (r.recent(r.came, now-r.cameAt)-work)/max(r.ready, 1)) * all / left
@@ -748,10 +752,10 @@
 // reported reads a load report. Its position is also how old it is at most as a proof of the role.
 func (r *Router) reported(m *member, report []float64) {
 	x0, x1 := slices.Index(r.columns, "x0"), slices.Index(r.columns, "x1")
-	if x0 < 0 || max(x0, x1) >= len(report) || report[x0] <= 0 || report[x0] > r.host.Now().Seconds()+1 {
+	if x0 < 0 || max(x0, x1) >= len(report) || report[x0] <= 0 || report[x0] > (r.host.Now()+r.offset).Seconds()+1 {
 		return // nobody has applied what was not written yet
 	}
-	pos := time.Duration(report[x0]*float64(time.Second)) - time.Millisecond
+	pos := time.Duration(report[x0]*float64(time.Second)) - time.Millisecond - r.offset
 	m.pos = max(m.pos, pos)
 	if x1 >= 0 {
 		role := driver.Replica
