--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -264,8 +264,13 @@
 	d := &running{Node: n, at: n.site.Listen.String()}
 	d.stop = sync.OnceFunc(func() {
 		syscall.Kill(os.Getpid(), syscall.SIGTERM)
-		if err := <-done; err != nil {
-			t.Error(err)
+		select {
+		case err := <-done:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(30 * time.Second):
+			t.Error("the driver does not stop")
 		}
 	})
 	t.Cleanup(d.stop)
@@ -275,6 +280,16 @@
 	return d
 }
 
+// await waits for what has to come soon.
+func await(t testing.TB, what string, come func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !come(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("after 20 s it is not so that %s", what)
+		}
+	}
+}
+
 // client speaks as one that is patient.
 type client struct {
 	net.Conn
@@ -679,9 +694,7 @@
 	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
 	first, same, bad := dial(t, d.at), dial(t, d.at), dial(t, d.at)
 	first.Write(asQuery(statement("a1", "order", 5000, 0)))
-	for len(m.seen()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "an attempt reaches the member", func() bool { return len(m.seen()) > 0 })
 	if got := same.ask(t, statement("a1", "order", 5000, 0)); got != unclear {
 		t.Errorf("the id of an open RPC: %s", got)
 	}
@@ -739,9 +752,7 @@
 	d := start(t, "", 100, listOf(1, true, target(1, 0, m.listener.Addr(), "in_service")))
 	c := dial(t, d.at)
 	c.Write(asQuery(statement("a1", "order", 20000, 0)))
-	for len(m.seen()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "an attempt reaches the member", func() bool { return len(m.seen()) > 0 })
 	c.Close()
 	select {
 	case <-gone:
@@ -767,9 +778,7 @@
 		t.Fatal(got)
 	}
 	held.Write(asQuery(statement("a1", "order", 5000, 0)))
-	for len(m.seen()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "an attempt reaches the member", func() bool { return len(m.seen()) > 0 })
 	stopped := make(chan bool)
 	go func() {
 		d.stop()
@@ -1035,9 +1044,7 @@
 	ask("a1", "ok value of a1")
 	slow := dial(t, d.at)
 	slow.Write(asQuery(statement("slow", "order", 5000, 0)))
-	for len(first.seen()) < 2 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, "the slow attempt reaches the member", func() bool { return len(first.seen()) >= 2 })
 	change(listOf(2, false), listOf(3, false, target(1, 0, second.listener.Addr(), "in_service"))) // it has moved
 	if got := slow.answer(); got != "ok value of slow" {
 		t.Fatalf("an RPC that was out when its member moved hears %s", got)
