--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,7 +15,7 @@
 )
 
 var (
-	seeds = flag.Int("soak.seeds", 6, "how many seeds are played")
+	seeds = flag.Int("soak.seeds", 10, "how many seeds are played")
 	first = flag.Uint64("soak.first", 1, "the first of them")
 )
 
