--- a/review/standin/case1.go
+++ b/review/standin/case1.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	operator := applicationsFront("offices", addresses[1], "", "") + fmt.Sprintf("configuration {\n fleet = \"bureau\"\n machines = [%s]\n folder = %q\n}\n",
+	operator := applicationsFront(addresses[1], "") + fmt.Sprintf("configuration {\n fleet = \"bureau\"\n machines = [%s]\n folder = %q\n}\n",
 		`"`+strings.Join(machines, `", "`)+`"`, folder)
 	s := site{name: "n0", listen: addresses[0], discovery: d.address, targets: d.list.Targets, classes: []class{classLook, classOwn, classOrder("cell")}}
 	if err := w.driver(s, operator); err != nil {
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -31,7 +31,7 @@
 	record  *record
 	address string
 
-	list    endpointList
+	list endpointList
 }
 
 func startDiscovery(r *record, targets []target) (*discovery, error) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -84,7 +84,6 @@
 
 var (
 	classLook = class{map[string]any{"name": "look", "effect": "safe", "points": 1, "target_us": 1000000, "hard_limit_us": 2500000}, "recent", 800000}
-	classAny  = class{map[string]any{"name": "any", "effect": "safe", "points": 1, "target_us": 1000000, "hard_limit_us": 2500000}, "loose", 0}
 	classOwn  = class{map[string]any{"name": "own", "effect": "safe", "points": 1, "target_us": 800000, "hard_limit_us": 2000000}, "own_writes", 0}
 )
 
@@ -109,7 +108,6 @@
 	name, listen, discovery string
 	targets                 []target
 	classes                 []class
-	family                  map[string]any // in place of the usual values
 }
 
 func (s site) text() string {
@@ -117,9 +115,6 @@
 	for key, value := range map[string]any{"answers_stamped": true, "behind": "hold", "write_marks": "client"} {
 		info[key] = value
 	}
-	for key, value := range s.family {
-		info[key] = value
-	}
 	text, err := json.MarshalIndent(map[string]any{
 		"name": s.name, "listen": s.listen, "discovery": s.discovery, "seed": seedOf(s.name),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -179,7 +174,7 @@
 
 // applications is the front of the cases, after the sample deploy/passtack.hcl.
 const applications = `
-front "odata" "NAME" {
+front "odata" "offices" {
   listen = "LISTEN"
   root   = "/odata/"
   REPEATS
@@ -197,7 +192,6 @@
       method    = "own"
       statement = "SELECT doc FROM items WHERE id = {key}"
     }
-    LIST
     operation "update" {
       method    = "order"
       statement = "UPDATE items SET status = {Status}, version = version + 1 WHERE id = {key} RETURNING doc"
@@ -206,17 +200,8 @@
 }
 `
 
-// listOperation is an operation that any member may serve.
-const listOperation = `
-    operation "list" {
-      method      = "any"
-      after_write = "own"
-      statement   = "SELECT json_agg(doc) FROM (SELECT doc FROM items ORDER BY {order} LIMIT {top} OFFSET {skip}) x"
-    }
-`
-
-func applicationsFront(name, listen, repeats, list string) string {
-	return strings.NewReplacer("NAME", name, "LISTEN", listen, "REPEATS", repeats, "LIST", list).Replace(applications)
+func applicationsFront(listen, repeats string) string {
+	return strings.NewReplacer("LISTEN", listen, "REPEATS", repeats).Replace(applications)
 }
 
 // setStatus returns the body of an update.
