--- a/review/standin/pgclient.go
+++ b/review/standin/pgclient.go
@@ -47,6 +47,7 @@
 	id := fmt.Sprintf("%s-%d", c.name, number)
 	sent := time.Now()
 	statement := fmt.Sprintf("/* id=%s,c=%s,d=%d%s,cluster=0 */ %s", id, class, wait.Milliseconds(), extra, text)
+	c.world.record.add("client %s  sends %s", c.name, statement)
 	if _, err := c.connection.Write(message('Q', append([]byte(statement), 0))); err != nil {
 		c.close()
 		return "", err
