--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -12,8 +12,8 @@
 // Operators publish classes in another order than that of the running driver: OData operations must not use the wrong class.
 func TestRepublishedClasses(t *testing.T) { play(t, "1") }
 
-// The disk under the folder of the published configuration stalls: the driver must go on answering.
-func TestStalledConfigurationFolder(t *testing.T) { play(t, "2") }
+// A repeatable update is repeated at another front of the driver after the window: it must not run again.
+func TestRepeatAtAnotherFront(t *testing.T) { play(t, "2") }
 
 // A repeatable update is pushed back although it has run: a repeat after the window must not run it again.
 func TestRepeatAfterPushback(t *testing.T) { play(t, "3") }
--- a/review/standin/case1.go
+++ b/review/standin/case1.go
@@ -11,8 +11,8 @@
 
 func init() { cases["1"] = republished }
 
-// republished is case 1. Operators publish a list of classes without one that is no longer needed. Later a member hangs after it has
-// committed a write. The write must not be run twice by a client that trusts the driver's answers.
+// republished is case 1. Operators publish a list of classes without one that is no longer needed. Later the answer of a member that
+// has committed a write is lost. The write must not be run twice by a client that trusts the driver's answers.
 //
 // With PUBLISH=0 nothing is published, for comparison.
 func republished(w *world, trouble bool) error {
@@ -53,12 +53,16 @@
 	if trouble {
 		c.hangOn("a-hang")
 	}
-	for try := 0; ; try++ { // a client that asks again only where the answer says that this does no harm
-		a := w.request("PATCH", service+"('a-hang')", setStatus("sent"), "Deadline-Ms", "2000")
-		if a.status != 503 || try == 3 {
+	first := time.Now()
+	for range maxTries { // a client that asks again only where the answer says that this does no harm
+		a := w.request("PATCH", service+"('a-hang')", setStatus("sent"), "Deadline-Ms", leftOf(first))
+		if a.status != 503 {
 			break
 		}
 		time.Sleep(max(a.retryAfter, 100*time.Millisecond))
+		if time.Since(first) >= totalWait {
+			break
+		}
 	}
 	return w.ranOnce(c, "a-hang")
 }
--- a/review/standin/case3.go
+++ b/review/standin/case3.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"net/http"
-	"strconv"
 	"time"
 )
 
 func init() { cases["3"] = pushedBack }
 
-// pushedBack is case 3. A member hangs after it has committed a repeatable update, so its answer is lost. The client repeats the update
+// pushedBack is case 3. The answer of a member that has committed a repeatable update is lost. The client repeats the update
 // under the same Repeatability-Request-ID when the driver's answer says. It must not be run a second time.
 //
 // With STICKY=0 the operator's file says that repeats of a client may come to other drivers, with SCOPE=cell only the members of the group
@@ -38,13 +36,16 @@
 		c.hangOn("a-hang")
 	}
 	first := time.Now()
-	for try := 0; try < 3; try++ { // the client repeats until it knows the outcome
-		a := w.request("PATCH", service+"('a-hang')", setStatus("sent"), "Deadline-Ms", "2000", "Repeatability-Request-ID", "update-a-hang",
-			"Repeatability-First-Sent", first.UTC().Format(http.TimeFormat), "First-Sent-Ms", strconv.FormatInt(first.UnixMilli(), 10))
+	fields := repeatable("update-a-hang", first)
+	for range maxTries {
+		a := w.request("PATCH", service+"('a-hang')", setStatus("sent"), append(fields, "Deadline-Ms", leftOf(first))...)
 		if a.status < 300 || a.status == 412 {
 			break
 		}
-		time.Sleep(max(a.retryAfter, 500*time.Millisecond))
+		time.Sleep(max(a.retryAfter, time.Until(first.Add(1260*time.Millisecond)))) // the window is over then
+		if time.Since(first) >= totalWait {
+			break
+		}
 	}
 	return w.ranOnce(c, "a-hang")
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -89,7 +89,7 @@
 
 // classOrder returns the class of writes. scope says which members drop a repeated token: cell or all.
 func classOrder(scope string) class {
-	return class{map[string]any{"name": "order", "effect": "keyed", "group": scope, "window_us": 1200000, "points": 6, "target_us": 600000,
+	return class{map[string]any{"name": "order", "effect": "keyed", "group": scope, "window_us": 1200000, "points": 6, "target_us": 600000, "late_worth": 0.5,
 		"hard_limit_us": 2000000}, "update", 0}
 }
 
@@ -121,7 +121,7 @@
 		"known":  endpointList{1, true, s.targets},
 		"settings": map[string]any{
 			"areas": []string{"a"}, "tick_us": 5000, "registry_mode": "automatic", "classes": list, "family_info": info,
-			"caps": map[string]any{"connect_timeout_us": 250000, "idle_close_us": 15000000, "max_retry_after_us": 1000000,
+			"caps": map[string]any{"connect_timeout_us": 250000, "idle_close_us": 15000000, "max_retry_after_us": 300000,
 				"may_cancel": true, "most_tries": 8},
 			"rules": map[string]any{"cold_us": 16000000, "drain_grace_us": 250000, "fall_multiple": 4.0, "start_capacity": 0.25,
 				"tip_after_us": 1000000},
@@ -207,14 +207,20 @@
 // setStatus returns the body of an update.
 func setStatus(status string) string { return fmt.Sprintf(`{"Status":"%s"}`, status) }
 
-// usualUpdates updates five entities, each of which must succeed and be run once. A refused update is sent again.
+// maxTries is how often a client sends a request: clients retry by themselves up to twice.
+const maxTries = 3
+
+// usual is the number of ordinary updates of a case, by which the driver learns how long they take.
+const usual = 20
+
+// usualUpdates updates some entities, each of which must succeed and be run once. A refused update is sent again.
 func (w *world) usualUpdates(c *cluster, service, name string) error {
-	for i := range 5 {
+	for i := range usual {
 		key := fmt.Sprintf("%s-%d", name, i)
 		a := reply{status: 503}
-		for try := 0; a.status == 503 && try < 5; try++ {
+		for try := 0; a.status == 503 && try < maxTries; try++ {
 			time.Sleep(a.retryAfter)
-			a = w.request("PATCH", service+"('"+key+"')", setStatus("sent"), "Deadline-Ms", "2000")
+			a = w.request("PATCH", service+"('"+key+"')", setStatus("sent"), "Deadline-Ms", leftOf(time.Now()))
 		}
 		if a.status >= 300 || a.err != nil {
 			return fmt.Errorf("an ordinary update was answered with %d, %v", a.status, a.err)
