Case: batches take a driver over its memory limit within a second

Cause: the OData front keeps all responses of a batch, renders them into one body and copies that, and none of it counts against the limits on memory. Change: case 8. 24 clients send a batch of 50 reads each to a driver of 64 MB.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -40,6 +40,7 @@
 var cases = map[string]func(*play) error{
 	"foreign-request":  foreignRequest,
 	"class-numbers":    classNumbers,
+	"batch-memory":     batchMemory,
 	"session-position": sessionPosition,
 	"replayed-refusal": replayedRefusal,
 	"sticky-reload":    stickyReload,
--- a/review/standin-2/pgmember.go
+++ b/review/standin-2/pgmember.go
@@ -29,6 +29,7 @@
 	p      *play
 	window time.Duration // for which the group drops a repeat of a key
 	lag    time.Duration // of the replicas
+	work   time.Duration // of each read
 	// afterWrite, if set, is called after a write was run; if it returns false, the connection is reset in place of the answer.
 	afterWrite func(execution) bool
 	mu         sync.Mutex
@@ -136,6 +137,7 @@
 		}
 		position = time.Now().UnixMilli() + 1
 	default:
+		time.Sleep(g.work)
 		doc = g.read(literal(query), position, primary)
 	}
 	var out []byte
