Case: a repeatable create that was pushed back after it ran is run again

Cause: the OData front records each push-back as not run, also where the module may push back an RPC that may have run (a keyed class of the group all). With sticky repeats the request then runs again after its group has forgotten the key.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -43,7 +43,7 @@
 	"batch-memory":     batchMemory,
 	"session-position": sessionPosition,
 	"replayed-refusal": replayedRefusal,
-	"sticky-reload":    stickyReload,
+	"pushed-back":      pushedBackRepeat,
 }
 
 func main() {
