Case: a late second copy of an answer is taken for the answer to the next request

Cause: a member connection is used again 2 ms after an answer; a copy that the member's system holds back until the answer is acknowledged comes after the next request, and the connection stays off by one.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -41,6 +41,8 @@
 	"foreign-request":  foreignRequest,
 	"class-numbers":    classNumbers,
 	"batch-memory":     batchMemory,
+	"endless-interim":  endlessInterim,
+	"second-copies":    secondCopies,
 	"session-position": sessionPosition,
 	"replayed-refusal": replayedRefusal,
 	"pushed-back":      pushedBackRepeat,
--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +43,23 @@
 	return float64(n) / 1024
 }
 
+// limitMemory is the stand-in for the platform: until the end it kills the driver once that takes more memory than its limit, in MB. It
+// returns the peak.
+func (p *play) limitMemory(driver *exec.Cmd, limit int, end time.Time) (peak float64) {
+	for checks := 0; time.Now().Before(end); checks++ {
+		time.Sleep(10 * time.Millisecond)
+		if peak = max(peak, residentMemory(driver.Process.Pid)); checks%20 == 0 {
+			p.note("peak memory %.1f MB", peak)
+		}
+		if peak > float64(limit) {
+			driver.Process.Kill()
+			p.violated("the driver took %.1f MB of memory, its limit is %d MB, and it was killed", peak, limit)
+			return peak
+		}
+	}
+	return peak
+}
+
 // batchMemory: 24 clients read an entity of 60 KB again and again; with trouble each of them sends fifty reads together, as a batch. The
 // stand-in for the platform kills a driver that takes more memory than its limits say.
 func batchMemory(p *play) error {
@@ -92,17 +110,7 @@
 			}
 		})
 	}
-	peak := 0.0
-	for checks := 0; time.Now().Before(end) && peak <= memory; checks++ {
-		time.Sleep(20 * time.Millisecond)
-		if peak = max(peak, residentMemory(driver.Process.Pid)); checks%10 == 0 {
-			p.note("peak memory %.1f MB", peak)
-		}
-	}
-	if peak > memory {
-		driver.Process.Kill()
-		p.violated("the driver took %.1f MB of memory, its limit is %d MB, and it was killed", peak, memory)
-	}
+	peak := p.limitMemory(driver, memory, end)
 	wait.Wait()
 	p.note("peak memory %.1f MB, %d reads served", peak, served)
 	if len(p.broken) == 0 && (served < 200 || peak == 0) {
--- a/review/standin-2/pgmember.go
+++ b/review/standin-2/pgmember.go
@@ -41,10 +41,12 @@
 	work   time.Duration // of each read
 	// afterWrite, if set, is called after a write was run, and says what comes in place of the answer.
 	afterWrite func(execution) fate
-	mu         sync.Mutex
-	history    map[string][]version
-	tokens     map[string]time.Time
-	ran        []execution
+	// twice, if set, says whether a second copy of an answer follows directly behind it, when nothing else waits on the connection.
+	twice   func() bool
+	mu      sync.Mutex
+	history map[string][]version
+	tokens  map[string]time.Time
+	ran     []execution
 }
 
 // serve starts a member of the group and returns its address.
@@ -74,6 +76,9 @@
 // connection serves the queries of one connection in order.
 func (g *cluster) connection(c *net.TCPConn, primary bool) {
 	defer c.Close()
+	if g.twice != nil {
+		c.SetNoDelay(false) // as any program's sockets are that does not ask for TCP_NODELAY
+	}
 	r := bufio.NewReader(c)
 	head := make([]byte, 4)
 	if _, err := io.ReadFull(r, head); err != nil {
@@ -107,6 +112,10 @@
 		if _, err := c.Write(answer); err != nil {
 			return
 		}
+		if g.twice != nil && r.Buffered() == 0 && !strings.Contains(string(answer[:1]), "I") && g.twice() {
+			g.p.note("a second copy follows the answer to %s", strings.TrimRight(string(text), "\x00"))
+			c.Write(answer)
+		}
 	}
 }
 
