Case: one batch that names empty dependencies takes a driver over its memory limit

Cause: an empty entry of dependsOn matches every earlier request without a group, and neither the entries nor the indexes that they become are bounded.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -43,6 +43,7 @@
 	"batch-memory":     batchMemory,
 	"endless-interim":  endlessInterim,
 	"second-copies":    secondCopies,
+	"batch-depends":    batchDepends,
 	"session-position": sessionPosition,
 	"replayed-refusal": replayedRefusal,
 	"pushed-back":      pushedBackRepeat,
