Case: a batch that reads a certain text stops the driver for fifteen seconds

Cause: Batch.Render makes the boundary longer by two bytes and searches the body again as long as the body holds it, on the event loop's goroutine.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -44,6 +44,7 @@
 	"endless-interim":  endlessInterim,
 	"second-copies":    secondCopies,
 	"batch-depends":    batchDepends,
+	"batch-boundary":   batchBoundary,
 	"session-position": sessionPosition,
 	"replayed-refusal": replayedRefusal,
 	"pushed-back":      pushedBackRepeat,
