A member's connection is used again only behind an answered barrier

The copy leaves the member only with the acknowledgement, that is, behind the next request, and was taken for its answer, and so on. Change: behind each answer the pool sends a request that does nothing (the empty query, HEAD / over HTTP). Bytes keep their order, so what the member sent behind the answer comes before the answer to that, and closes the connection. Members that drain are sent none. Bytes behind the answer to the startup message, and a row as the answer to a health check, are refused too. Stand-ins of tests answer the empty query, as the protocol page says that members do.

--- /dev/null
+++ b/internal/member/barrier.go
@@ -0,0 +1,67 @@
+package member
+
+import "hash/maphash"
+
+// responseSeed seeds the checksums of responses.
+var responseSeed = maphash.MakeSeed()
+
+// barrier is a request that does nothing at the member, sent behind each response. A connection delivers bytes in order, so all
+// that the member has sent behind the response, such as a second copy of it that its system held back, arrives before the answer
+// to the barrier. Only that answer makes the connection available again: without it, such bytes could be taken for the response
+// to the next request.
+type barrier struct {
+	pending  bool
+	response uint64 // checksum of the response before it
+}
+
+// sendBarrier sends a barrier behind a response with the given checksum.
+func (c *connection) sendBarrier(response uint64) {
+	p := c.pool
+	c.barrier = barrier{pending: true, response: response}
+	c.responseStarted = false
+	c.stream.Send(p.protocol.EncodeProbe())
+	c.timer = p.loop.At(p.loop.Now()+p.connectTimeout, func() {
+		if p.connections.Get(c.handle) == c && c.barrier.pending {
+			c.discard("members_closed_silent")
+		}
+	})
+}
+
+// barrierInput parses input while the answer to a barrier is outstanding, and returns the bytes consumed. Anything but that answer
+// closes the connection.
+func (c *connection) barrierInput(in []byte) int {
+	c.parse(in, true, false)
+	response := &c.pool.response
+	switch {
+	case response.Size == 0 && !response.Malformed:
+		return 0
+	case !c.answersBarrier(response, in):
+		c.discard("members_closed_excess")
+		return 0
+	}
+	c.barrier.pending = false
+	c.pool.loop.Cancel(c.timer)
+	if c.address != c.member.address || c.member.draining {
+		c.discard("")
+		return 0
+	}
+	c.becomeIdle()
+	return response.Size
+}
+
+// answersBarrier reports whether in holds the answer to the barrier and nothing else. A copy of the response before it is no
+// answer, even if the protocol would allow it as one.
+func (c *connection) answersBarrier(response *Response, in []byte) bool {
+	return !response.Malformed && !response.ErrorReceived && !response.CloseAfter && response.Size == len(in) &&
+		maphash.Bytes(responseSeed, in) != c.barrier.response
+}
+
+// discard closes a connection that carries no attempt, counts the reason if there is one, and serves the attempts that wait for a
+// connection.
+func (c *connection) discard(reason string) {
+	if reason != "" {
+		c.pool.outcomes.Count(reason)
+	}
+	c.close()
+	c.pool.loop.Defer(c.pool.serveQueues)
+}
--- a/internal/member/connection.go
+++ b/internal/member/connection.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"hash/maphash"
 	"io"
 	"net/netip"
 	"slices"
@@ -32,6 +33,7 @@
 	responseStarted bool
 	errorReceived   bool
 	outcome         driver.Outcome // of the error that was received
+	barrier         barrier
 }
 
 // connect opens a connection for an attempt.
@@ -114,14 +116,17 @@
 // Input implements eventloop.Handler. It consumes complete responses only, and uses no part of a malformed one.
 func (c *connection) Input(in []byte) int {
 	p := c.pool
+	if c.barrier.pending {
+		return c.barrierInput(in)
+	}
 	if c.established && c.attempt == nil {
 		size, ok := p.protocol.ParseUnsolicited(in)
 		if !ok {
-			c.close()
+			c.discard("members_closed_excess")
 		}
 		return size
 	}
-	c.parse(in, false)
+	c.parse(in, c.attempt != nil && c.attempt.probe, false)
 	response := &p.response
 	switch {
 	case response.Malformed:
@@ -132,41 +137,61 @@
 			c.awaitMore()
 		}
 		return 0
+	case !c.established && !c.onlyUnsolicited(in[response.Size:]):
+		c.abort(errMalformedResponse)
+		return 0
 	case !c.established:
 		c.becomeEstablished()
-		return response.Size
+		return len(in)
 	case !c.written:
 		c.abort(errMalformedResponse)
 		return 0
 	}
-	return c.complete(response, len(in))
+	return c.complete(response, in)
+}
+
+// onlyUnsolicited reports whether in consists of complete messages that may arrive without a request.
+func (c *connection) onlyUnsolicited(in []byte) bool {
+	for len(in) > 0 {
+		size, ok := c.pool.protocol.ParseUnsolicited(in)
+		if !ok || size == 0 {
+			return false
+		}
+		in = in[size:]
+	}
+	return true
 }
 
-// complete ends the attempt with its response and returns the response's size. The connection is used again unless the member
-// closes it, has sent excess bytes, or has changed its address.
-func (c *connection) complete(response *Response, received int) (size int) {
+// complete ends the attempt with its response and returns the response's size. The connection is used again after a barrier, unless
+// the member closes it, drains, has sent excess bytes, or has changed its address.
+func (c *connection) complete(response *Response, in []byte) (size int) {
 	p, a := c.pool, c.attempt
 	size = response.Size
+	excess := size < len(in)
+	reusable := !excess && !response.CloseAfter && c.address == c.member.address && !c.member.draining
+	checksum := maphash.Bytes(responseSeed, in)
 	c.attempt, c.written, c.errorReceived = nil, false, false
 	p.loop.Cancel(c.timer)
-	reusable := size == received && !response.CloseAfter && c.address == c.member.address
-	if reusable {
-		c.becomeIdle()
-	}
 	p.finish(a, response.Outcome, response)
-	if !reusable {
-		c.close()
+	switch {
+	case reusable && a.probe: // the response to a health check is an answer to a barrier
+		c.becomeIdle()
+	case reusable:
+		c.sendBarrier(checksum)
+	case excess:
+		c.discard("members_closed_excess")
+	default:
+		c.discard("")
 	}
 	return size
 }
 
 // parse parses what has been received of the response into the pool's response. An error that was received is final, even if
 // more is missing.
-func (c *connection) parse(in []byte, ended bool) {
+func (c *connection) parse(in []byte, probing, ended bool) {
 	p := c.pool
 	response := &p.response
 	response.reset(c.responseStarted)
-	probing := c.attempt != nil && c.attempt.probe
 	p.protocol.ParseResponse(in, c.established, probing, ended, p.loop.Now()+p.clockOffset, response)
 	c.responseStarted, c.errorReceived, c.outcome = response.Started, response.ErrorReceived, response.Outcome
 }
@@ -206,7 +231,7 @@
 	}
 	if c.established && c.written && cause == io.EOF { // the end of the connection completes a response without a length
 		response := &c.pool.response
-		if c.parse(c.stream.Unread(), true); response.Size > 0 && !response.Malformed {
+		if c.parse(c.stream.Unread(), a.probe, true); response.Size > 0 && !response.Malformed {
 			c.attempt = nil
 			c.pool.finish(a, response.Outcome, response)
 			return
--- a/internal/member/pg/pg.go
+++ b/internal/member/pg/pg.go
@@ -98,7 +98,7 @@
 	case 'I':
 		return probing && last == 0
 	case 'T':
-		return last == 0 && pgwire.IsRowDescription(body)
+		return !probing && last == 0 && pgwire.IsRowDescription(body)
 	case 'C':
 		return last == 'D' && pgwire.IsCommandComplete(body)
 	case 'Z':
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -37,6 +37,7 @@
 type member struct {
 	id              driver.Member
 	address         netip.AddrPort
+	draining        bool            // no connection is kept for later attempts
 	idle            []*connection   // in the order in which they became idle
 	idleTimer       eventloop.Timer // closes the connections that have been idle for too long
 	failureLogAfter time.Duration   // time before which no further failure is logged
@@ -76,6 +77,13 @@
 	}
 }
 
+// SetDraining records whether a member drains. A connection to a member that drains is closed after the response to its attempt.
+func (p *Pool) SetDraining(id driver.Member, draining bool) {
+	if m := p.members[id]; m != nil {
+		m.draining = draining
+	}
+}
+
 // Forget removes a member. No further attempts are sent to it.
 func (p *Pool) Forget(id driver.Member) {
 	if m := p.members[id]; m != nil {
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -30,7 +30,7 @@
 func (r *outcomeRecorder) Probed(driver.Member, bool, time.Duration, []float64) {}
 func (r *outcomeRecorder) Count(name string)                                    { r.counts[name]++ }
 
-// fakeMember accepts one greeting at a time and answers every query with an error.
+// fakeMember accepts one greeting at a time and answers every query but the empty one with an error.
 type fakeMember struct {
 	loop                      *eventloop.Loop
 	connectDelay              time.Duration // time to accept one greeting
@@ -66,10 +66,14 @@
 		})
 		return size
 	}
-	_, _, size, _ := pgwire.Next(in)
+	_, body, size, _ := pgwire.Next(in)
 	if size == 0 {
 		return 0
 	}
+	if len(body) == 1 { // the empty query
+		c.stream.Send(pgwire.AppendEmptyQueryResponse(nil))
+		return size
+	}
 	m.queries++
 	m.loop.At(m.loop.Now()+5*ms, func() {
 		c.stream.Send(pgwire.AppendReady(pgwire.AppendError(nil, false, "72000", "no", -1)))
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"runtime"
@@ -24,9 +25,14 @@
 		defer c.Close()
 		in, began := make([]byte, 4096), false
 		for {
-			if _, err := c.Read(in); err != nil {
+			size, err := c.Read(in)
+			if err != nil {
 				return
 			}
+			if protocol == "odata" && bytes.HasPrefix(in, []byte("HEAD ")) { // a health check
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+				continue
+			}
 			if protocol == "odata" {
 				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nNode-Role: %s\r\nReplay-Position: %d\r\nContent-Type: application/json\r\n"+
 					"Content-Length: 10\r\n\r\n{\"Id\":\"k\"}", role, time.Now().UnixMilli())
@@ -37,6 +43,10 @@
 				c.Write(pgwire.AppendAuthenticationOK(nil, 1, 1))
 				continue
 			}
+			if bytes.Equal(in[:size], []byte{'Q', 0, 0, 0, 5, 0}) { // the empty query
+				c.Write(pgwire.AppendEmptyQueryResponse(nil))
+				continue
+			}
 			c.Write(pgwire.AppendReady(appendReport(rowResponse(`{"Id":"k"}`), role)))
 		}
 	})
--- a/internal/node/fake_cluster_test.go
+++ b/internal/node/fake_cluster_test.go
@@ -151,6 +151,14 @@
 		if call == nil {
 			return
 		}
+		if call.text == "" && call.verb == "" { // the empty query, which does nothing
+			c.Write(pgwire.AppendEmptyQueryResponse(nil))
+			continue
+		}
+		if call.verb == "HEAD" && call.key == "" { // a health check, which does nothing
+			io.WriteString(c, "HTTP/1.1 200 x\r\n\r\n")
+			continue
+		}
 		if !m.answer(c, call) {
 			return
 		}
--- a/internal/node/fake_member_test.go
+++ b/internal/node/fake_member_test.go
@@ -80,6 +80,10 @@
 		if err != nil || kind != 'Q' {
 			return
 		}
+		if len(body) == 1 { // the empty query, which does nothing
+			c.Write(pgwire.AppendEmptyQueryResponse(nil))
+			continue
+		}
 		q := &receivedQuery{text: string(body[:len(body)-1]), began: time.Now()}
 		m.mutex.Lock()
 		m.queries = append(m.queries, q)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -100,9 +100,11 @@
 		slog.Info("member added", "member", fmt.Sprintf("%012x", uint64(id)), "uid", uid, "endpoint", address, "group", group)
 		defer func() { n.learned.restoreMember(id, uid) }()
 	}
+	pool := r.poolOf(group)
 	if address.IsValid() {
-		r.poolOf(group).SetAddress(id, address)
+		pool.SetAddress(id, address)
 	}
+	pool.SetDraining(id, state == driver.Draining)
 	zoneNumber := driver.Zone(max(0, slices.Index(r.zones, zone)))
 	if n.membership != nil {
 		n.membership.drainGossip.memberListed(uid, listedMember{id, zoneNumber, group, size}, state, started, r.listKind != driver.Cached)
--- a/internal/node/scenario_test.go
+++ b/internal/node/scenario_test.go
@@ -68,6 +68,10 @@
 	if err != nil || size == 0 {
 		return 0
 	}
+	if len(body) == 1 { // the empty query, which does nothing
+		c.stream.Send(pgwire.AppendEmptyQueryResponse(nil))
+		return size
+	}
 	id := field(string(body[:len(body)-1]), "id")
 	s := m.scenario
 	s.receivedAt[id] = append(s.receivedAt[id], s.world.Now())
--- a/internal/node/simulated_fleet_test.go
+++ b/internal/node/simulated_fleet_test.go
@@ -109,6 +109,10 @@
 		return size
 	}
 	text := string(body[:len(body)-1])
+	if text == "" { // the empty query, which does nothing
+		c.stream.Send(pgwire.AppendEmptyQueryResponse(nil))
+		return size
+	}
 	id, write := field(text, "id"), strings.Contains(text, "INSERT")
 	m.fleet.record("%s receives %s", m.host.Name, id)
 	if m.fleet.answers[id] != "" {
