Targets of JSON batches are checked like those of any request

Cause: a target was checked where a request line is parsed, and the url of a JSON batch has none. With line ends in an option without a $, which the parser ignores, the member read two requests and sent two answers. Change: httpwire.CheckTarget is the one check, and validate, through which every request goes, calls it; it bounds the length of a url too.

--- a/internal/front/odata/validate.go
+++ b/internal/front/odata/validate.go
@@ -32,6 +32,9 @@
 func (f *Front) validate(httpReq *httpRequest) (*request, *response) {
 	req := &request{front: f, http: httpReq}
 	req.minimalMetadata, req.returnPreference = true, preference(httpReq.fields, "return")
+	if fault := httpwire.CheckTarget(httpReq.target, f.config.HTTP); fault != nil {
+		return nil, errorResponse(newError(fault.Status, "BadRequest", "%s", fault.Reason))
+	}
 	if err := httpReq.checkVersions(); err != nil {
 		return nil, errorResponse(err)
 	}
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -114,13 +114,8 @@
 	if !isToken(verb) || len(verb) > 32 || len(target) == 0 {
 		return nil, nil, 0, &Fault{400, "no request"}
 	}
-	if len(target) > limits.Target {
-		return nil, nil, 0, &Fault{414, "the target is too long"}
-	}
-	for _, b := range target {
-		if b <= ' ' || b >= 0x7f {
-			return nil, nil, 0, &Fault{400, "a target with what must be encoded"}
-		}
+	if fault := CheckTarget(target, limits); fault != nil {
+		return nil, nil, 0, fault
 	}
 	if len(version) != 8 || !bytes.HasPrefix(version, []byte("HTTP/")) || version[6] != '.' {
 		return nil, nil, 0, &Fault{400, "no version"}
@@ -131,6 +126,20 @@
 	return verb, target, version[7], nil
 }
 
+// CheckTarget checks a request target, wherever it was received. Within a request line, a byte that has to be percent-encoded could
+// end the line and begin another request.
+func CheckTarget[Text string | []byte](target Text, limits Limits) *Fault {
+	if len(target) > limits.Target {
+		return &Fault{414, "the target is too long"}
+	}
+	for i := range len(target) {
+		if b := target[i]; b <= ' ' || b >= 0x7f {
+			return &Fault{400, "a target with what must be encoded"}
+		}
+	}
+	return nil
+}
+
 // parseFraming returns the length of the body, or that it is chunked. Ambiguous framing is rejected, so that no request can be
 // smuggled inside another.
 func (r *Request) parseFraming(minor byte) (length int64, chunked bool, fault *Fault) {
