An attempt waits for an answered barrier before it opens a connection

Cause: with the barrier, an attempt right behind an answer found its connection not idle and opened another; beside load two tests of the number of connections failed (3 for 2, 4 for 3). Change: an attempt waits while more barriers are outstanding at the member than attempts wait; the answer comes sooner than a new connection. A barrier that ends without one lets the attempts connect. The 2 ms after an answer are counted from that answer.

--- a/internal/member/attempt.go
+++ b/internal/member/attempt.go
@@ -51,7 +51,7 @@
 		return uint32(a.handle)
 	}
 	a.request = request.Copy()
-	if m.waiting.Len() == 0 && p.connectLimiter.MayConnect(&m.connections) {
+	if m.waiting.Len() == m.barriers && p.connectLimiter.MayConnect(&m.connections) {
 		p.connect(a, m)
 	} else {
 		p.enqueue(a, m)
--- a/internal/member/barrier.go
+++ b/internal/member/barrier.go
@@ -18,6 +18,7 @@
 func (c *connection) sendBarrier(response uint64) {
 	p := c.pool
 	c.barrier = barrier{pending: true, response: response}
+	c.member.barriers++
 	c.responseStarted = false
 	c.stream.Send(p.protocol.EncodeProbe())
 	c.timer = p.loop.At(p.loop.Now()+p.connectTimeout, func() {
@@ -39,7 +40,7 @@
 		c.discard("members_closed_excess")
 		return 0
 	}
-	c.barrier.pending = false
+	c.endBarrier()
 	c.pool.loop.Cancel(c.timer)
 	if c.address != c.member.address || c.member.draining {
 		c.discard("")
@@ -49,6 +50,17 @@
 	return response.Size
 }
 
+// endBarrier records that no answer to a barrier is outstanding on the connection.
+func (c *connection) endBarrier() {
+	if c.barrier.pending {
+		c.barrier.pending = false
+		c.member.barriers--
+	}
+}
+
+// awaitsBarrier reports whether another attempt should wait for an answer to a barrier: it comes sooner than a new connection.
+func (m *member) awaitsBarrier() bool { return m.waiting.Len() < m.barriers }
+
 // answersBarrier reports whether in holds the answer to the barrier and nothing else. A copy of the response before it is no
 // answer, even if the protocol would allow it as one.
 func (c *connection) answersBarrier(response *Response, in []byte) bool {
--- a/internal/member/connection.go
+++ b/internal/member/connection.go
@@ -27,7 +27,8 @@
 	established     bool // the member has accepted the greeting
 	released        bool
 	attempt         *attempt
-	written         bool // the attempt's request was handed to the stream
+	written         bool          // the attempt's request was handed to the stream
+	respondedAt     time.Duration // of the latest response
 	idleSince       time.Duration
 	timer           eventloop.Timer // connect timeout; once established, timeout of a pause within a response
 	responseStarted bool
@@ -170,7 +171,7 @@
 	excess := size < len(in)
 	reusable := !excess && !response.CloseAfter && c.address == c.member.address && !c.member.draining
 	checksum := maphash.Bytes(responseSeed, in)
-	c.attempt, c.written, c.errorReceived = nil, false, false
+	c.attempt, c.written, c.errorReceived, c.respondedAt = nil, false, false, p.loop.Now()
 	p.loop.Cancel(c.timer)
 	p.finish(a, response.Outcome, response)
 	switch {
@@ -270,6 +271,10 @@
 		p.loop.Defer(func() { p.connectFailed(m) })
 	}
 	c.released = true
+	if c.barrier.pending {
+		p.loop.Defer(p.serveQueues)
+	}
+	c.endBarrier()
 	p.loop.Cancel(c.timer)
 	p.connections.Remove(c.handle)
 	m.idle = slices.DeleteFunc(m.idle, func(other *connection) bool { return other == c })
--- a/internal/member/idle.go
+++ b/internal/member/idle.go
@@ -2,14 +2,12 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"passtack/driver"
 )
 
-// settleTime is how long a connection stays unused after a response. Excess bytes from the member that arrive within this time
-// close the connection; on a connection in use they would be taken for the next response.
+// settleTime is how long a connection stays unused after a response if there is another one.
 const settleTime = 2 * time.Millisecond
 
 // becomeIdle makes the connection available for the next attempt.
@@ -21,16 +19,18 @@
 		p.closeIdleAt(m, c.idleSince+p.idleTimeout)
 	}
 	if m.waiting.Len() > 0 {
-		p.loop.At(c.idleSince+settleTime, func() { p.serveQueue(m) })
+		p.loop.Defer(func() { p.serveQueue(m) })
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection of those whose settleTime has passed, nil if there is
+// takeIdle removes and returns the most recently used idle connection, preferably one whose settleTime has passed, nil if there is
 // none. It closes connections that the member may have closed.
 func (p *Pool) takeIdle(m *member) *connection {
 	for len(m.idle) > 0 {
-		unsettled := sort.Search(len(m.idle), func(i int) bool { return p.loop.Now()-m.idle[i].idleSince < settleTime })
-		i := max(unsettled-1, 0)
+		i := len(m.idle) - 1
+		for i > 0 && p.loop.Now()-m.idle[i].respondedAt < settleTime {
+			i--
+		}
 		c := m.idle[i]
 		m.idle = slices.Delete(m.idle, i, i+1)
 		if p.loop.Now()-c.idleSince < p.idleTimeout && c.stream.Alive() {
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -41,6 +41,7 @@
 	idle            []*connection   // in the order in which they became idle
 	idleTimer       eventloop.Timer // closes the connections that have been idle for too long
 	failureLogAfter time.Duration   // time before which no further failure is logged
+	barriers        int             // connections with a barrier that is not answered yet
 	connections     recovery.MemberConnections
 	waiting         linkedlist.List[*attempt]
 	congested       linkedlist.Element[*member]
--- a/internal/member/queue.go
+++ b/internal/member/queue.go
@@ -2,7 +2,9 @@
 
 // enqueue makes an attempt wait for a connection, at most as long as one may take to be established.
 func (p *Pool) enqueue(a *attempt, m *member) {
-	p.outcomes.Count("connects_waited")
+	if !m.awaitsBarrier() {
+		p.outcomes.Count("connects_waited")
+	}
 	a.queued.Value, m.congested.Value = a, m
 	m.waiting.PushBack(&a.queued)
 	if !m.congested.InList(&p.congested) {
@@ -15,7 +17,7 @@
 func (p *Pool) serveQueue(m *member) {
 	for next := m.waiting.Front(); next != nil; next = m.waiting.Front() {
 		a, c := next.Value, p.takeIdle(m)
-		if c == nil && !p.connectLimiter.MayConnect(&m.connections) {
+		if c == nil && (m.waiting.Len() <= m.barriers || !p.connectLimiter.MayConnect(&m.connections)) {
 			return
 		}
 		next.Remove()
