A connection has one vote in 100 ms on the usual timeout of a method

What callers saw: beside one client that sent reads with a deadline of 1 ms, 1,107 of 1,107 requests of eight usual clients were refused; beside OData requests without a deadline, 514 to 530 of some 980. Cause: a try with another timeout than the usual one counts as a retry that began earlier, and the usual one is a vote of all requests (requestedSince). One client that sends more than all others wins it, refused requests included. Evidence: no refusals where the flood has the others' deadline; sixteen after a flood, which is maxTimeoutVotes. TestOneConnectionDoesNotSetTheUsualTimeout fails without the change: a first try counts from 1.5 s before its arrival. Change: the module is told the connection of a request, and lets each vote once in 100 ms.

--- a/driver/interfaces.go
+++ b/driver/interfaces.go
@@ -5,6 +5,12 @@
 // Client identifies a client that waits for the answer to one RPC. Each front assigns its own numbers.
 type Client uint32
 
+// Connection identifies the connection over which a client's RPCs come. A number is used again after its connection was closed.
+type Connection uint32
+
+// UnknownConnection is that of RPCs whose connection is not known.
+const UnknownConnection Connection = 0
+
 // Form is the protocol that the members of a group speak.
 type Form uint8
 
@@ -49,6 +55,7 @@
 // Front is a listener of one protocol for clients. Each client gets one answer to each of its RPCs.
 type Front interface {
 	MemberRequest(from Client) *MemberRequest // the client's request; nil: the client no longer waits
+	Connection(of Client) Connection          // the client's connection
 	Answer(to Client, a *Answer)
 	PushBack(to Client, retryAfter time.Duration) // retryAfter 0: no retry delay is given
 	Abort(to Client)
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -76,6 +76,15 @@
 	return nil
 }
 
+// Connection implements driver.Front.
+func (f *Front) Connection(of driver.Client) driver.Connection {
+	req := f.requests.Get(slotmap.Handle(of))
+	if req == nil || req.exchange == nil || req.exchange.connection == nil {
+		return driver.UnknownConnection
+	}
+	return driver.Connection(req.exchange.connection.Handle.Slot())
+}
+
 // Answer implements driver.Front.
 func (f *Front) Answer(to driver.Client, a *driver.Answer) {
 	if req := f.requests.Get(slotmap.Handle(to)); req != nil {
--- a/internal/front/pg/front.go
+++ b/internal/front/pg/front.go
@@ -68,6 +68,11 @@
 	return &c.request
 }
 
+// Connection implements driver.Front.
+func (f *Front) Connection(of driver.Client) driver.Connection {
+	return driver.Connection(slotmap.Handle(of).Slot())
+}
+
 var readyMessage = pgwire.AppendReady(nil)
 
 // Answer implements driver.Front. It forwards the messages of a member.
--- a/internal/node/rpcs.go
+++ b/internal/node/rpcs.go
@@ -96,7 +96,7 @@
 	n.traceTaken(id, client, deadline)
 	n.timer.resume()
 	n.module.Take(rules.Request{
-		ID: id, Method: method, Group: group, Session: session,
+		ID: id, Connection: front.Connection(client), Method: method, Group: group, Session: session,
 		ArrivedAt: arrivedAt, Deadline: deadline, SinceWrite: sinceWrite, ClientRetry: clientRetry,
 	})
 	return id
--- a/internal/slotmap/slotmap.go
+++ b/internal/slotmap/slotmap.go
@@ -12,6 +12,9 @@
 	return Handle(index) | Handle(generation)<<generationShift
 }
 
+// Slot returns the number of the handle's slot, counted from 1. A value that is inserted after another was removed may get the same slot.
+func (h Handle) Slot() uint32 { return uint32(h.index()) + 1 }
+
 func (h Handle) index() uint16 { return uint16(h) }
 
 func (h Handle) generation() uint16 { return uint16(h >> generationShift) }
--- a/rules/admission.go
+++ b/rules/admission.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"passtack/driver"
 	"passtack/internal/settings"
 )
 
@@ -18,17 +19,42 @@
 	settings.FreshnessAny: 0.15, settings.FreshnessBounded: 0.15, settings.FreshnessSession: 0.15, settings.FreshnessLatest: 0.45, settings.FreshnessWrite: 0.45,
 }
 
+// voterLimiter limits how often the tries of one connection count for the usual timeout of a method. Without it, one client that sends more
+// than all others together, with another timeout, would make their first tries look like retries.
+type voterLimiter struct {
+	nextVoteAt [voterSlots]time.Duration // by connection
+}
+
+const (
+	voterSlots   = 256
+	voteInterval = 100 * time.Millisecond // between two votes of a connection
+)
+
+// mayVote reports whether a try that came over the connection counts. Each try of an unknown connection does.
+func (v *voterLimiter) mayVote(connection driver.Connection, now time.Duration) bool {
+	if connection == driver.UnknownConnection {
+		return true
+	}
+	next := &v.nextVoteAt[connection%voterSlots]
+	if now < *next {
+		return false
+	}
+	*next = now + voteInterval
+	return true
+}
+
 // requestedSince returns when the client first requested the answer. A first try has the usual timeout of its method; the timeout of a retry
 // may be cut short by the limit for all tries, so a try with another timeout counts as a retry. An RPC that is read at the end of a pause of
 // this driver may have arrived earlier: it counts from its deadline minus the usual timeout.
 func (r *Router) requestedSince(q Request, now time.Duration) time.Duration {
 	meth, timeout, resumed := r.methods[q.Method], q.Deadline-q.ArrivedAt, now == r.ticks.resumedAt
 	usual := (timeout - meth.clientTimeout).Abs() < 2*r.ticks.interval
-	if !usual && !resumed {
+	mayVote := meth.voters.mayVote(q.Connection, now)
+	if !usual && !resumed && mayVote {
 		if meth.timeoutVotes--; meth.timeoutVotes < 0 {
 			meth.clientTimeout, meth.timeoutVotes, usual = timeout, 1, true
 		}
-	} else if usual {
+	} else if usual && mayVote {
 		meth.timeoutVotes = min(meth.timeoutVotes+1, maxTimeoutVotes)
 	}
 	switch {
--- a/rules/admission_test.go
+++ b/rules/admission_test.go
@@ -20,6 +20,27 @@
 	}
 }
 
+// Guards against one client that sends more than all others, with another timeout, and so makes their first tries look like retries, which
+// are refused because their time seems to be over.
+func TestOneConnectionDoesNotSetTheUsualTimeout(t *testing.T) {
+	c := newCluster(t, 1, "wait", "methods.0.limit=2500000")
+	const usualClients, flooding = 8, 100
+	request := func(connection driver.Connection, timeout time.Duration) time.Duration {
+		return c.router.requestedSince(Request{Connection: connection, ArrivedAt: c.now, Deadline: c.now + timeout}, c.now)
+	}
+	for round := range 200 {
+		for client := range usualClients {
+			for range flooding {
+				request(usualClients+1, ms)
+			}
+			if got := request(driver.Connection(client+1), time.Second); got != c.now && round > 0 {
+				t.Fatalf("round %d: a first try of client %d counts from %v before its arrival", round, client, c.now-got)
+			}
+		}
+		c.now += 20 * ms
+	}
+}
+
 // A request that waited behind another one on its connection is a first try and counts from its arrival. The shorter time left must not be
 // taken for a retry's timeout and must not change the estimated timeout of clients.
 func TestQueueingInAConnectionIsNoClientRetry(t *testing.T) {
--- a/rules/events.go
+++ b/rules/events.go
@@ -10,6 +10,7 @@
 // Request is an RPC as its client sent it. Times are by Host.Now.
 type Request struct {
 	ID          driver.RPC
+	Connection  driver.Connection // over which it came
 	Method      driver.Method
 	Group       driver.Group
 	Tenant      driver.Tenant
--- a/rules/router.go
+++ b/rules/router.go
@@ -22,6 +22,7 @@
 	typical       typicalLatency
 	clientTimeout time.Duration // how long clients usually wait for one try
 	timeoutVotes  int           // tries with clientTimeout minus those with another timeout, at most maxTimeoutVotes
+	voters        voterLimiter
 }
 
 // Router is the decision module of one driver. Its methods are called from one goroutine.
