A request that arrives in small pieces is parsed once

Cause: httpwire.Next parsed an incomplete request anew with each read, from its first byte; of a chunked body each read went through all chunks before. Evidence: TestRequestsInSmallPiecesCostNoMore; the parser before takes over 5 s, this one milliseconds. TestRequestsInPiecesAreParsedLikeWholeOnes compares both ways. Change: httpwire.Parser keeps how far an incomplete request was parsed. A line that holds only the length of a chunk is read digit by digit. Chunks have a file of their own.

--- a/internal/front/odata/connection.go
+++ b/internal/front/odata/connection.go
@@ -12,6 +12,7 @@
 	front        *Front
 	exchange     *exchange // nil: none
 	sentContinue bool      // for the request that is being received
+	parser       httpwire.Parser
 }
 
 // exchange is one request on a connection and its response: a single request or a batch.
@@ -91,7 +92,7 @@
 		return 0
 	}
 	f := c.front
-	r, fault := httpwire.Next(in, f.config.HTTP)
+	r, fault := c.parser.Next(in, f.config.HTTP)
 	if fault != nil {
 		c.reject(fault)
 		return len(in)
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -59,7 +59,7 @@
 	case head || status == 204 || status == 304:
 		r.Size = headSize
 	case codings > 0:
-		if r.Body, size, fault = decodeChunked(in[headSize:], limits); fault == nil && size > 0 {
+		if r.Body, size, fault = decodeChunked(in[headSize:], limits, new(chunkScan)); fault == nil && size > 0 {
 			r.Size = headSize + size
 		}
 	case lengths == 1:
--- a/internal/httpwire/request.go
+++ b/internal/httpwire/request.go
@@ -35,6 +35,12 @@
 
 // Next parses a request. Size is 0 while the request is incomplete; Fields are set as soon as the header is complete.
 func Next(in []byte, limits Limits) (r Request, fault *Fault) {
+	var p Parser
+	return p.Next(in, limits)
+}
+
+// parse parses a request of which the chunks that were scanned before are known.
+func (p *Parser) parse(in []byte, limits Limits) (r Request, fault *Fault) {
 	skipped := 0
 	for bytes.HasPrefix(in[skipped:], lineEnd) && skipped < 4 { // some clients send an empty line after a body
 		skipped += 2
@@ -54,6 +60,7 @@
 	if r.Verb, r.Target, minor, fault = parseRequestLine(rest[:end-1], limits); fault != nil {
 		return r, fault
 	}
+	p.inHead = true
 	fields, size, fault := parseFields(rest[end+1:], limits.Fields)
 	if fault != nil {
 		return r, fault
@@ -68,7 +75,7 @@
 	if head > limits.Head {
 		return r, &Fault{431, "the head is too long"}
 	}
-	r.Fields = fields
+	r.Fields, p.inHead = fields, false
 	length, chunked, fault := r.parseFraming(minor)
 	if fault != nil {
 		return r, fault
@@ -80,9 +87,11 @@
 		if int64(len(rest)-head) >= length {
 			r.Body, r.Size = rest[head:head+int(length)], skipped+head+int(length)
 		}
+		p.needed = skipped + head + int(length)
 		return r, nil
 	}
-	body, size, fault := decodeChunked(rest[head:], limits)
+	body, size, fault := decodeChunked(rest[head:], limits, &p.chunks)
+	p.needed = skipped + head + p.chunks.needed
 	if fault == nil && size > 0 {
 		r.Body, r.Size = body, skipped+head+size
 	}
@@ -183,73 +192,6 @@
 	return length, chunked, nil
 }
 
-const maxChunkLine = 256 // bytes
-
-// decodeChunked joins the chunks of a chunked body once it is complete. It returns size 0 until then.
-func decodeChunked(in []byte, limits Limits) (body []byte, size int, fault *Fault) {
-	total := 0
-	for pass := range 2 { // the first pass only adds up the length
-		size = 0
-		for {
-			n, line, fault := parseChunkLine(in[size:])
-			if fault != nil || line == 0 {
-				return nil, 0, fault
-			}
-			size += line
-			if n == 0 {
-				break
-			}
-			if pass == 0 {
-				if total += n; total > limits.Body {
-					return nil, 0, &Fault{413, "the body is too long"}
-				}
-			} else {
-				body = append(body, in[size:size+n]...)
-			}
-			size += n
-			switch rest := in[min(size, len(in)):]; {
-			case len(rest) >= 2 && !bytes.HasPrefix(rest, lineEnd), len(rest) == 1 && rest[0] != '\r':
-				return nil, 0, &Fault{400, "a chunk of another length than told"}
-			case len(rest) < 2:
-				return nil, 0, nil
-			}
-			size += 2
-		}
-		if pass == 0 {
-			body = make([]byte, 0, total)
-		}
-	}
-	_, trailer, fault := parseFields(in[size:], limits.Fields)
-	if fault != nil || trailer == 0 {
-		if fault == nil && len(in)-size > limits.Head {
-			fault = &Fault{431, "the trailer is too long"}
-		}
-		return nil, 0, fault
-	}
-	return body, size + trailer, nil
-}
-
-// parseChunkLine parses the line with the length of the next chunk. It returns size 0 while the line is incomplete.
-func parseChunkLine(in []byte) (n, size int, fault *Fault) {
-	end := bytes.IndexByte(in[:min(len(in), maxChunkLine)], '\n')
-	if end < 0 && len(in) >= maxChunkLine {
-		return 0, 0, &Fault{400, "a chunk without a length"}
-	}
-	if end < 0 {
-		return 0, 0, nil
-	}
-	if end == 0 || in[end-1] != '\r' {
-		return 0, 0, &Fault{400, "a line without CR"}
-	}
-	digits, extension, _ := bytes.Cut(in[:end-1], []byte(";"))
-	digits = bytes.TrimRight(digits, " \t")
-	value, err := strconv.ParseUint(string(digits), 16, 31)
-	if err != nil || digits[0] == '+' || len(digits) > 8 || bytes.IndexByte(extension, '\r') >= 0 {
-		return 0, 0, &Fault{400, "a chunk without a length"}
-	}
-	return int(value), end + 1, nil
-}
-
 // reasonPhrases are the reason phrases of the statuses in use.
 var reasonPhrases = map[int]string{
 	100: "Continue", 200: "OK", 201: "Created", 204: "No Content", 304: "Not Modified", 400: "Bad Request",
