The Go runtime's memory limit leaves room for the program itself

What callers saw: 600 clients that write 250 KB slowly took a driver with a limit of 32 MB to 36 MB; the platform kills it then. Cause: the runtime had three quarters of the limit, and the program's resident code and constants, 10 MB at any limit, have no room in a quarter of 32 MB. Evidence: RssAnon 18 to 22 MB and RssFile 10 MB at the peaks, 24 MB allowed to the runtime. Change: the runtime keeps within the limit less 14 MB where that is less than three quarters; buffers of long messages have a third of that. No change from 56 MB on.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,8 +38,8 @@
 	"passtack/rules"
 )
 
-// bufferFraction is the divisor of the memory limit that gives the limit for buffers of long messages.
-const bufferFraction = 4
+// bufferDivisor is the divisor of the runtime's memory limit that gives the limit for buffers of long messages.
+const bufferDivisor = 3
 
 // Node is one driver. All its code runs on its event loop, except for workers, which do not access its state.
 type Node struct {
@@ -82,7 +82,7 @@
 	debug.SetMemoryLimit(runtimeMemory(site))
 	var l *eventloop.Loop
 	err := retryOnResourceShortage(func() (err error) {
-		l, err = eventloop.New(site.Descriptors, int(site.Memory/bufferFraction))
+		l, err = eventloop.New(site.Descriptors, bufferMemory(site))
 		return err
 	})
 	if err != nil {
@@ -102,9 +102,18 @@
 	return assemble(l, site, cfg, true)
 }
 
+// programMemory is the memory of the program itself, which the Go runtime does not count: its code and constants, and what the C library
+// and the threads need.
+const programMemory = 14 << 20
+
 // runtimeMemory returns the memory limit for the Go runtime in bytes. The rest of the site's limit is for memory that the runtime does
 // not count.
-func runtimeMemory(site *Site) int64 { return site.Memory * 3 / 4 }
+func runtimeMemory(site *Site) int64 {
+	return min(site.Memory*3/4, max(site.Memory-programMemory, site.Memory/4))
+}
+
+// bufferMemory returns the limit for the buffers of long messages in bytes.
+func bufferMemory(site *Site) int { return int(runtimeMemory(site) / bufferDivisor) }
 
 // assemble creates all components of a driver and opens its sockets.
 func assemble(l *eventloop.Loop, site *Site, cfg *config.File, simulated bool) (*Node, error) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,7 +4,7 @@
 
 // applyLimits applies the site's limits to the event loop and the Go runtime.
 func (n *Node) applyLimits() {
-	n.loop.SetLimits(n.site.Descriptors, int(n.site.Memory/bufferFraction))
+	n.loop.SetLimits(n.site.Descriptors, bufferMemory(n.site))
 	if !n.simulated {
 		debug.SetMemoryLimit(runtimeMemory(n.site))
 	}
