Each dependency of a batch's request is listed once

Cause: an entry of dependsOn was listed as often as it was named, for each request that it fits; the empty text fits all requests without a group. Evidence: TestDependenciesAreListedOnce fails without the change. Change: a request is listed once, the empty text names nothing (400), and the number of names is bounded by the ids and groups before.

--- a/internal/odata/batch.go
+++ b/internal/odata/batch.go
@@ -104,16 +104,9 @@
 			return nil, badRequest("", "the id %q stands there twice", *r.ID)
 		}
 		item := BatchRequest{ID: *r.ID, Verb: strings.ToUpper(r.Method), Target: r.URL, AtomicityGroup: r.AtomicityGroup}
-		for _, dependency := range r.DependsOn {
-			found := false
-			for i, o := range b.Items {
-				if o.ID == dependency || o.AtomicityGroup == dependency {
-					item.DependsOn, found = append(item.DependsOn, i), true
-				}
-			}
-			if !found {
-				return nil, badRequest("", "%q depends on %q, which does not come before it", *r.ID, dependency)
-			}
+		var err *Error
+		if item.DependsOn, err = b.dependencies(*r.ID, r.DependsOn); err != nil {
+			return nil, err
 		}
 		var fields []byte
 		for name, value := range r.Headers {
@@ -136,6 +129,31 @@
 	return b, nil
 }
 
+// dependencies returns the indexes of the earlier requests that a request names by their ids or groups, each once and in order.
+func (b *Batch) dependencies(id string, names []string) (indexes []int, err *Error) {
+	if len(names) > 2*len(b.Items) { // an id and a group for each
+		return nil, badRequest("", "%q depends on %d requests and groups, more than come before it", id, len(names))
+	}
+	needed := make([]bool, len(b.Items))
+	for _, name := range names {
+		found := false
+		for i, o := range b.Items {
+			if name != "" && (o.ID == name || o.AtomicityGroup == name) {
+				needed[i], found = true, true
+			}
+		}
+		if !found {
+			return nil, badRequest("", "%q depends on %q, which does not come before it", id, name)
+		}
+	}
+	for i := range needed {
+		if needed[i] {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes, nil
+}
+
 func isJSON(media string) bool {
 	media, _, _ = strings.Cut(media, ";")
 	return media == "" || strings.EqualFold(strings.TrimSpace(media), "application/json")
--- a/internal/odata/batch_test.go
+++ b/internal/odata/batch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"mime/multipart"
+	"slices"
 	"strings"
 	"testing"
 
@@ -120,6 +121,30 @@
 	}
 }
 
+// Guards against lists that grow with the square of a batch: a request names the same others, or nothing, tens of thousands of times.
+func TestDependenciesAreListedOnce(t *testing.T) {
+	parse := func(names ...string) (*Batch, *Error) {
+		encoded, err := json.Marshal(names)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := `{"requests":[{"id":"a","method":"get","url":"x"},{"id":"b","atomicityGroup":"g","method":"get","url":"x"},{"id":"c","method":"get","url":"x","dependsOn":` + string(encoded) + `}]}`
+		return ParseBatch("application/json", []byte(body), batchLimits)
+	}
+	for _, names := range [][]string{{"b", "a", "b"}, {"g", "a", "g", "b"}} {
+		if b, err := parse(names...); err != nil || !slices.Equal(b.Items[2].DependsOn, []int{0, 1}) {
+			t.Errorf("%v: %+v, %v", names, b, err)
+		}
+	}
+	for name, names := range map[string][]string{
+		"the empty text": {""}, "the empty text very often": slices.Repeat([]string{""}, 10_000), "one very often": slices.Repeat([]string{"a"}, 10_000), "itself": {"c"},
+	} {
+		if _, err := parse(names...); err == nil || err.Status != 400 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 func TestRenderInBothFormats(t *testing.T) {
 	b, _ := ParseBatch("multipart/mixed; boundary=b", withCRLF(mixed), batchLimits)
 	answers := []BatchAnswer{
