The boundary of a multipart response is found in one go

Cause: Render made the boundary longer by two bytes and searched the body again, as often as the body has the pieces. Change: the numbers behind the usual boundary are marked, and the lowest free one is taken: two looks at each body.

--- a/internal/odata/batch.go
+++ b/internal/odata/batch.go
@@ -9,6 +9,8 @@
 	"io"
 	"mime"
 	"mime/multipart"
+	"slices"
+	"strconv"
 	"strings"
 
 	"passtack/internal/httpwire"
@@ -280,12 +282,7 @@
 // Render encodes the answers, one for each request in order.
 func (b *Batch) Render(answers []BatchAnswer) (contentType string, body []byte) {
 	if !b.JSON {
-		boundary := answerBoundary
-		for _, a := range answers { // the boundary must not occur in a body
-			for bytes.Contains(a.Body, []byte(boundary)) {
-				boundary += "-" + boundary[:1]
-			}
-		}
+		boundary := boundaryFor(answers)
 		return "multipart/mixed; boundary=" + boundary, b.renderParts(boundary, answers)
 	}
 	out := []byte(`{"responses":[`)
@@ -325,6 +322,38 @@
 	return "application/json", append(out, `]}`...)
 }
 
+// boundaryDigits is the number of digits of a numbered boundary. It has more values than bodies can hold.
+const boundaryDigits = 9
+
+// boundaryFor returns a boundary that occurs in no body: the usual one, or that and the lowest number that follows it in none.
+func boundaryFor(answers []BatchAnswer) string {
+	occurrences := 0
+	for _, a := range answers {
+		occurrences += bytes.Count(a.Body, []byte(answerBoundary))
+	}
+	if occurrences == 0 {
+		return answerBoundary
+	}
+	used := make([]bool, occurrences+1) // one of these numbers is free
+	for _, a := range answers {
+		markNumbers(a.Body, used)
+	}
+	return fmt.Sprintf("%s-%0*d", answerBoundary, boundaryDigits, slices.Index(used, false))
+}
+
+// markNumbers marks the numbers that follow the usual boundary in a body.
+func markNumbers(body []byte, used []bool) {
+	_, rest, found := bytes.Cut(body, []byte(answerBoundary))
+	for ; found; _, rest, found = bytes.Cut(rest, []byte(answerBoundary)) {
+		if len(rest) <= boundaryDigits || rest[0] != '-' {
+			continue
+		}
+		if n, err := strconv.ParseUint(string(rest[1:1+boundaryDigits]), 10, 32); err == nil && n < uint64(len(used)) {
+			used[n] = true
+		}
+	}
+}
+
 func (b *Batch) renderParts(boundary string, answers []BatchAnswer) (out []byte) {
 	line := func(text string) { out = append(append(out, text...), "\r\n"...) }
 	writeDelimiter := func(name, end string) { line("--" + name + end) }
--- a/internal/odata/batch_test.go
+++ b/internal/odata/batch_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"passtack/internal/httpwire"
 )
@@ -145,6 +146,26 @@
 	}
 }
 
+// Guards against a search for a boundary that takes longer with each piece of it that a body holds, while all others wait.
+func TestBoundariesAreFoundInOneGo(t *testing.T) {
+	const limit = 2 * time.Second // hundreds of times what one look at each body takes
+	answer := func(body string) BatchAnswer { return BatchAnswer{Status: 200, Body: []byte(body)} }
+	for name, body := range map[string]string{
+		"none":            "text",
+		"the usual one":   answerBoundary,
+		"numbered ones":   answerBoundary + "-000000000" + answerBoundary + "-000000001 " + answerBoundary + "-000000003",
+		"cut off":         answerBoundary + "-00000000",
+		"no numbers":      answerBoundary + "--00000000 " + answerBoundary + "-+00000000",
+		"longer and more": strings.Repeat("batch-answer-b-b-c", 10_000) + "batch-answer" + strings.Repeat("-b", 100_000),
+	} {
+		began := time.Now()
+		boundary := boundaryFor([]BatchAnswer{answer(body), answer("x")})
+		if took := time.Since(began); strings.Contains(body, boundary) || !strings.HasPrefix(boundary, answerBoundary) || took > limit || len(boundary) > 70 {
+			t.Errorf("%s: %.100s after %v", name, boundary, took)
+		}
+	}
+}
+
 func TestRenderInBothFormats(t *testing.T) {
 	b, _ := ParseBatch("multipart/mixed; boundary=b", withCRLF(mixed), batchLimits)
 	answers := []BatchAnswer{
