Interim HTTP answers are skipped in a loop, sixteen at most

Cause: NextReply called itself for the answer behind an interim one, and Answer (discovery) likewise: 40,000 frames for 1 MB. Evidence: TestInterimAnswersAreLimited fails without the change. Change: a loop; the seventeenth interim answer makes the answer malformed.

--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -23,6 +23,21 @@
 // Answer parses an answer. It returns size 0 while the answer is incomplete. ended means that the peer has closed the
 // connection, which ends a body of unknown length. If last is true, the connection cannot be reused.
 func Answer(in []byte, ended bool) (status int, body []byte, size int, last bool, err error) {
+	skipped := 0
+	for range maxInterim + 1 {
+		status, body, size, last, err = answer(in[skipped:], ended)
+		if err != nil || size == 0 {
+			return status, nil, 0, last, err
+		}
+		if skipped += size; status >= 200 {
+			return status, body, skipped, last, nil
+		}
+	}
+	return 0, nil, 0, false, ErrAnswer
+}
+
+// answer parses one answer, which may be an interim one.
+func answer(in []byte, ended bool) (status int, body []byte, size int, last bool, err error) {
 	head := bytes.Index(in, []byte("\r\n\r\n"))
 	if head < 0 {
 		return 0, nil, 0, false, nil
@@ -53,12 +68,8 @@
 		}
 	}
 	switch {
-	case status < 200: // interim response, the final one follows
-		status, body, size, last, err = Answer(in[head:], ended)
-		if size > 0 {
-			size += head
-		}
-		return status, body, size, last, err
+	case status < 200:
+		return status, nil, head, false, nil
 	case chunked:
 		body, size, err = decodeAnswerChunks(in[head:])
 		if size > 0 {
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"passtack/internal/pcg"
@@ -40,6 +41,27 @@
 	}
 }
 
+// Guards against a peer that sends interim answers without end and so takes stack, or the time of the event loop, without a limit.
+func TestInterimAnswersAreLimited(t *testing.T) {
+	const interim, final = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, count := range []int{0, 1, maxInterim, maxInterim + 1, 40_000} {
+		in := []byte(strings.Repeat(interim, count) + final)
+		want := len(in)
+		if count > maxInterim {
+			want = 0
+		}
+		var reply Reply
+		var fault *Fault
+		allocations := testing.AllocsPerRun(1, func() { reply, fault = NextReply(in, false, false, Limits{Head: 1000, Fields: 10, Body: 100}) })
+		if reply.Size != want || (fault == nil) != (want > 0) || allocations > 2 {
+			t.Errorf("%d interim replies: size %d, want %d, fault %v, %.0f allocations", count, reply.Size, want, fault, allocations)
+		}
+		if _, _, size, _, err := Answer(in, false); size != want || (err == nil) != (want > 0) {
+			t.Errorf("%d interim answers: size %d, want %d, %v", count, size, want, err)
+		}
+	}
+}
+
 func TestMalformedAnswers(t *testing.T) {
 	for _, in := range []string{
 		"SSH-2.0\r\n\r\n", "HTTP/1.1 abc\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n",
--- a/internal/httpwire/reply.go
+++ b/internal/httpwire/reply.go
@@ -12,15 +12,35 @@
 	Size       int  // bytes of header and body; 0 while the reply is incomplete
 }
 
-// NextReply parses a reply. ended means that the peer has closed the connection. With head the reply is to a HEAD request and
-// has no body.
+// maxInterim bounds the interim replies before a final one.
+const maxInterim = 16
+
+// NextReply parses a reply and the interim ones before it. ended means that the peer has closed the connection. With head the reply
+// is to a HEAD request and has no body.
 func NextReply(in []byte, head, ended bool, limits Limits) (r Reply, fault *Fault) {
+	skipped := 0
+	for range maxInterim + 1 {
+		var interim int
+		r, interim, fault = nextReply(in[skipped:], head, ended, limits)
+		if interim == 0 {
+			if r.Size > 0 {
+				r.Size += skipped
+			}
+			return r, fault
+		}
+		skipped += interim
+	}
+	return Reply{}, &Fault{0, "too many interim replies"}
+}
+
+// nextReply parses one reply. For an interim one it returns only its size.
+func nextReply(in []byte, head, ended bool, limits Limits) (r Reply, interim int, fault *Fault) {
 	end := bytes.IndexByte(in, '\n')
 	if end < 0 {
 		if len(in) > 512 || len(in) > 0 && !bytes.HasPrefix([]byte("HTTP/1."), in[:min(len(in), 7)]) {
 			fault = &Fault{0, "not an HTTP/1.x status line"}
 		}
-		return r, fault
+		return r, 0, fault
 	}
 	line := bytes.TrimSuffix(in[:end], []byte("\r"))
 	status, ok := int64(0), len(line) >= 12 && len(line) < end && bytes.HasPrefix(line, []byte("HTTP/1.")) && line[8] == ' '
@@ -28,7 +48,7 @@
 		status, ok = parseLength(line[9:12])
 	}
 	if !ok || status < 100 || status > 599 || len(line) > 12 && line[12] != ' ' {
-		return r, &Fault{0, "not an HTTP/1.x status line"}
+		return r, 0, &Fault{0, "not an HTTP/1.x status line"}
 	}
 	r.Started, r.Status = true, int(status)
 	fields, size, fault := parseFields(in[end+1:], limits.Fields)
@@ -36,15 +56,11 @@
 		if fault == nil && len(in) > limits.Head {
 			fault = &Fault{0, "the header is too long"}
 		}
-		return r, fault
+		return r, 0, fault
 	}
 	headSize := end + 1 + size
 	if status < 200 { // interim response, the final one follows
-		next, fault := NextReply(in[headSize:], head, ended, limits)
-		if next.Size > 0 {
-			next.Size += headSize
-		}
-		return next, fault
+		return Reply{}, headSize, nil
 	}
 	r.Fields = fields
 	r.CloseAfter = r.Fields.Has("connection", "close") || line[7] == '0'
@@ -53,9 +69,9 @@
 	n, isNumber := parseLength(length)
 	switch {
 	case lengths > 1 || lengths == 1 && !isNumber || codings > 0 && (lengths > 0 || codings > 1 || !bytes.EqualFold(coding, []byte("chunked"))):
-		return r, &Fault{0, "invalid Content-Length or Transfer-Encoding"}
+		return r, 0, &Fault{0, "invalid Content-Length or Transfer-Encoding"}
 	case n > int64(limits.Body):
-		return r, &Fault{0, "the body is too long"}
+		return r, 0, &Fault{0, "the body is too long"}
 	case head || status == 204 || status == 304:
 		r.Size = headSize
 	case codings > 0:
@@ -72,5 +88,5 @@
 			r.Body, r.Size = in[headSize:], len(in)
 		}
 	}
-	return r, fault
+	return r, 0, fault
 }
