--- a/internal/emu/rig/leases_test.go
+++ b/internal/emu/rig/leases_test.go
@@ -14,6 +14,7 @@
 
 	"passtack/internal/emu/play"
 	"passtack/internal/pcg"
+	"passtack/internal/testprogram"
 )
 
 // leaseScript is a script of a small fleet whose lease holder acts fifty times a second. Blocks of faults can be appended.
@@ -54,7 +55,7 @@
 		return nil, err
 	}
 	if programs.Path == "" {
-		if programs.Path, err = buildProgram(); err != nil {
+		if programs.Path, err = testprogram.Path(); err != nil {
 			return nil, err
 		}
 	}
@@ -189,7 +190,7 @@
 
 // buildMutatedProgram builds the program with the mutations of leases, of which an environment variable selects one.
 var buildMutatedProgram = sync.OnceValues(func() (string, error) {
-	at, err := buildProgram()
+	at, err := testprogram.Path()
 	if err != nil {
 		return "", err
 	}
--- a/internal/emu/rig/rig_test.go
+++ b/internal/emu/rig/rig_test.go
@@ -11,28 +11,15 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"passtack/internal/emu"
 	"passtack/internal/emu/play"
+	"passtack/internal/testprogram"
 )
 
-// buildProgram builds passtack once for all tests.
-var buildProgram = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "passtack")
-	if err != nil {
-		return "", err
-	}
-	name := filepath.Join(folder, "passtack")
-	if out, err := exec.Command("go", "build", "-o", name, "passtack/cmd/passtack").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return name, nil
-})
-
 func TestMain(m *testing.M) {
 	if file := os.Getenv("RIG_PLAYS"); file != "" { // this process is started by TestDriversEndWithTheirPlayer, which kills it during the play
 		s, err := play.ReadScript(file)
@@ -43,18 +30,14 @@
 		os.Exit(1)
 	}
 	flag.Set("test.parallel", "32") // plays mostly wait; each kind of play limits its own concurrency
-	code := m.Run()
-	if name, err := buildProgram(); err == nil {
-		os.RemoveAll(filepath.Dir(name))
-	}
-	os.Exit(code)
+	testprogram.Main(m)
 }
 
 // playSlots limits concurrent plays: they run in real time, and other tests need CPU cores as well.
 var playSlots = make(chan bool, 4)
 
 func playLimited(s *play.Script, seed uint64, log io.Writer) (*play.Result, error) {
-	at, err := buildProgram()
+	at, err := testprogram.Path()
 	if err != nil {
 		return nil, err
 	}
@@ -255,7 +238,7 @@
 
 // Drivers must not survive when the process that plays the script is killed.
 func TestDriversEndWithTheirPlayer(t *testing.T) {
-	at, err := buildProgram()
+	at, err := testprogram.Path()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/soak/driver_test.go
+++ b/internal/soak/driver_test.go
@@ -2,38 +2,18 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
-	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
-)
 
-// buildProgram builds passtack once for all tests.
-var buildProgram = sync.OnceValues(func() (string, error) {
-	folder, err := os.MkdirTemp("", "passtack-soak")
-	if err != nil {
-		return "", err
-	}
-	name := filepath.Join(folder, "passtack")
-	if out, err := exec.Command("go", "build", "-o", name, "passtack/cmd/passtack").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("%w: %s", err, out)
-	}
-	return name, nil
-})
+	"passtack/internal/testprogram"
+)
 
-func TestMain(m *testing.M) {
-	code := m.Run()
-	if name, err := buildProgram(); err == nil {
-		os.RemoveAll(filepath.Dir(name))
-	}
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { testprogram.Main(m) }
 
 // process is one process of the driver.
 type process struct {
@@ -62,7 +42,7 @@
 // startDriver starts a process of the driver and waits until it serves.
 func startDriver(t *testing.T, r *record, args ...string) *process {
 	t.Helper()
-	path, err := buildProgram()
+	path, err := testprogram.Path()
 	if err != nil {
 		t.Fatal(err)
 	}
