--- a/internal/front/connections.go
+++ b/internal/front/connections.go
@@ -17,9 +17,6 @@
 // DeliveryMargin is the time reserved for delivering a response to a client. It includes the rounding of the kernel's timers.
 const DeliveryMargin = 10 * time.Millisecond
 
-// ActiveIDs holds the ids of the RPCs in service at all listeners together.
-type ActiveIDs map[string]bool
-
 // SessionOf returns the session for a key. Every listener returns the same one, so that a client may change its listener.
 func SessionOf(key []byte) driver.Session {
 	hash := fnv.New64a()
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -23,7 +23,7 @@
 	methods     []string // names in statements, by method number
 	memberRoot  string   // root of the paths at members
 	requests    slotmap.Map[*request]
-	activeIDs   front.ActiveIDs
+	ids         *front.RequestIDs
 	registry    *idempotency.Registry
 	random      *pcg.Source
 	dateSecond  time.Duration // second for which dateText was formatted
@@ -32,10 +32,10 @@
 
 // Listen starts a listener for clients. methods holds the method names by number. Members that speak OData serve paths below memberRoot.
 // The seed is for the random ids of requests.
-func Listen(l *eventloop.Loop, handler driver.RPCHandler, address netip.AddrPort, limits eventloop.AcceptLimiter, activeIDs front.ActiveIDs, settings *config.OData,
+func Listen(l *eventloop.Loop, handler driver.RPCHandler, address netip.AddrPort, limits eventloop.AcceptLimiter, ids *front.RequestIDs, settings *config.OData,
 	methods []string, memberRoot string, seed uint64) (*Front, error) {
 	f := &Front{
-		loop: l, handler: handler, activeIDs: activeIDs, methods: methods, memberRoot: memberRoot, registry: idempotency.New(l.Now()), random: pcg.New(seed),
+		loop: l, handler: handler, ids: ids, methods: methods, memberRoot: memberRoot, registry: idempotency.New(l.Now()), random: pcg.New(seed),
 	}
 	f.SetConfig(settings)
 	var err error
--- a/internal/front/odata/request.go
+++ b/internal/front/odata/request.go
@@ -79,7 +79,7 @@
 	if token == "" && req.operationKind.Writes() {
 		token = req.id
 	}
-	f.activeIDs[req.id] = true
+	f.ids.Begin(req.id)
 	position := req.requiredPosition(minPosition)
 	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
 		slog.Debug("request received", "id", req.id, "client", req.handle, "method", f.methods[method], "left_ms", (deadline - now).Milliseconds())
@@ -116,7 +116,7 @@
 func (f *Front) newID() string {
 	for {
 		id := fmt.Sprintf("%08x%08x", uint32(f.random.Uint32()), uint32(f.random.Uint32()))
-		if !f.activeIDs[id] {
+		if !f.ids.Active(id) {
 			return id
 		}
 	}
@@ -132,7 +132,7 @@
 	f.requests.Remove(req.handle)
 	f.loop.Cancel(req.joinTimeout)
 	if req.id != "" {
-		delete(f.activeIDs, req.id)
+		f.ids.End(req.id)
 	}
 	if req.joinedEntry != nil {
 		req.joinedEntry.RemoveWaiter(uint32(req.handle))
@@ -170,7 +170,7 @@
 	req.ended = true
 	f.requests.Remove(req.handle)
 	f.loop.Cancel(req.joinTimeout)
-	delete(f.activeIDs, req.id)
+	f.ids.End(req.id)
 	if req.joinedEntry != nil {
 		req.joinedEntry.RemoveWaiter(uint32(req.handle))
 		if runner := f.requests.Get(slotmap.Handle(req.joinedEntry.Runner)); runner != nil {
--- a/internal/front/pg/client.go
+++ b/internal/front/pg/client.go
@@ -62,7 +62,7 @@
 // Closed implements eventloop.Handler.
 func (c *client) Closed(cause error) {
 	c.Connection.Release(cause)
-	c.abandon()
+	c.leave()
 }
 
 // Panicked implements eventloop.Handler. The client gets an error, as the RPC in service may have run.
@@ -180,7 +180,7 @@
 // reject answers a violation of the protocol and closes the connection, even if an RPC is in service on it.
 func (c *client) reject(code, message string) {
 	c.front.handler.Count("clients_rejected")
-	c.abandon()
+	c.leave()
 	c.Stream.Send(pgwire.AppendError(nil, true, code, message, -1))
 	c.Close(front.ClosedUnreadable)
 }
@@ -195,6 +195,14 @@
 	c.Stream.Send(pgwire.AppendError(nil, false, codeProtocolViolation, message, -1), pgwire.AppendReady(nil))
 }
 
+// leave ends the RPC in service, if there is one, without an answer. Its id is not to run again.
+func (c *client) leave() {
+	if c.busy {
+		c.front.ids.Leave(c.id, c.front.loop.Now())
+	}
+	c.abandon()
+}
+
 // abandon ends the RPC in service, if there is one, as its client has disconnected.
 func (c *client) abandon() {
 	if c.busy {
@@ -206,5 +214,5 @@
 func (c *client) endRPC() {
 	c.busy = false
 	c.Connection.EndRequest()
-	delete(c.front.activeIDs, c.id)
+	c.front.ids.End(c.id)
 }
--- a/internal/front/pg/front.go
+++ b/internal/front/pg/front.go
@@ -20,16 +20,16 @@
 	methods     map[string]driver.Method
 	sessions    map[driver.Method]bool // methods whose quoted key names the session
 	keyed       map[driver.Method]bool // methods that need an idempotency key
-	activeIDs   front.ActiveIDs
+	ids         *front.RequestIDs
 	connections *front.Connections
 	cancelKeys  *pcg.Source
 }
 
 // Listen accepts clients. The slices are indexed by method: its name, whether its key names the session, and whether it needs
 // an idempotency key. The seed is for the random cancel keys.
-func Listen(l *eventloop.Loop, handler driver.RPCHandler, address netip.AddrPort, limits eventloop.AcceptLimiter, activeIDs front.ActiveIDs, methods []string,
+func Listen(l *eventloop.Loop, handler driver.RPCHandler, address netip.AddrPort, limits eventloop.AcceptLimiter, ids *front.RequestIDs, methods []string,
 	sessions, keyed []bool, seed uint64) (*Front, error) {
-	f := &Front{cancelKeys: pcg.New(seed), loop: l, handler: handler, activeIDs: activeIDs}
+	f := &Front{cancelKeys: pcg.New(seed), loop: l, handler: handler, ids: ids}
 	f.SetMethods(methods, sessions, keyed)
 	var err error
 	f.connections, err = front.Listen(l, address, pgwire.MaxMessageLength+1, limits, handler.Count, func(s *front.Connection) front.Handler {
@@ -98,6 +98,7 @@
 func (f *Front) cancel(id driver.Client, cancelKey uint32) {
 	if c := f.busyClient(id); c != nil && c.cancelKey == cancelKey {
 		f.handler.Count("clients_cancelled")
+		f.ids.Leave(c.id, f.loop.Now())
 		f.respond(id, pgwire.AppendError(nil, false, codeQueryCanceled, "cancelled", -1), readyMessage)
 		f.handler.ClientLeft(c.rpc)
 	}
--- a/internal/front/pg/query.go
+++ b/internal/front/pg/query.go
@@ -11,6 +11,9 @@
 	"passtack/internal/pgwire"
 )
 
+// maxIDLength bounds the id of an RPC, in bytes.
+const maxIDLength = 256
+
 // header is the comment in front of a statement. Its slices point into the message.
 type header struct {
 	id         []byte
@@ -63,7 +66,7 @@
 func (f *Front) validate(h *header, statement []byte) (fields rpcFields, ok bool) {
 	method, known := f.methods[string(h.method)]
 	budget, err := strconv.ParseInt(string(h.budget), 10, 32)
-	if !known || err != nil || budget <= 0 || h.duplicate || len(statement) == 0 || len(h.id) == 0 ||
+	if !known || err != nil || budget <= 0 || h.duplicate || len(statement) == 0 || len(h.id) == 0 || len(h.id) > maxIDLength ||
 		f.keyed[method] && len(h.key) == 0 {
 		return fields, false
 	}
@@ -96,9 +99,12 @@
 	case !ok:
 		c.rejectMessage("the comment of the statement is of no use")
 		return size
-	case f.activeIDs[string(h.id)]:
+	case f.ids.Active(string(h.id)):
 		c.rejectMessage("an RPC of this id is being served")
 		return size
+	case f.ids.MayHaveRun(string(h.id), f.loop.Now()):
+		c.rejectMessage("an RPC of this id may have run; its client has left")
+		return size
 	case f.handler.FormOf(fields.group) != driver.Statements:
 		c.rejectMessage("the members of this group take no statements")
 		return size
@@ -123,7 +129,7 @@
 	c.busy, c.admitting = true, true
 	c.messageSize, c.textOffset, c.checkedBytes, c.budgetSpan = size, queryTextOffset, max(c.checkedBytes, size), h.budgetSpan
 	c.id = string(h.id)
-	f.activeIDs[c.id] = true
+	f.ids.Begin(c.id)
 	c.rpc = f.handler.Take(f, driver.Client(c.Handle), fields.method, fields.group, session, receivedAt, deadline, sinceCommit, h.repeat)
 	if c.admitting = false; c.busy {
 		return 0
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -49,7 +49,7 @@
 func (s *listenerSet) open() error {
 	n := s.node
 	methods := n.site.methods()
-	ids := make(front.ActiveIDs)
+	ids := front.NewRequestIDs()
 	for _, f := range n.config.Listeners {
 		l := &listener{set: s, name: f.Name, quotaID: s.quotas.Add(f.Quota)}
 		address := f.Listen
@@ -66,7 +66,7 @@
 }
 
 // open opens the listener of one front.
-func (l *listener) open(f *config.Listener, address netip.AddrPort, ids front.ActiveIDs, methods siteMethods) error {
+func (l *listener) open(f *config.Listener, address netip.AddrPort, ids *front.RequestIDs, methods siteMethods) error {
 	n := l.set.node
 	seed := n.site.Seed + uint64(l.quotaID)
 	switch f.Protocol {
