A client whose end may be hidden is confirmed before its next request

What callers saw: a client that had written more than all buffers hold closed its connection, and its next write was sent to a member 202 ms later, on both listeners. Cause: the end of the connection stands behind what the driver has not read. The client's system resets when the next response comes, but the request behind it was taken in the same turn of the loop.

--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -147,6 +147,9 @@
 // ReadPaused reports whether reading is paused. Input may have arrived in the kernel meanwhile.
 func (s *Stream) ReadPaused() bool { return s.input.full || s.input.starved }
 
+// InputHidden reports whether more input may wait in the kernel, or at the peer, than has been read. The end of the input is hidden behind it.
+func (s *Stream) InputHidden() bool { return s.ReadPaused() || s.arrivals.delayedSince > 0 }
+
 // Unread returns the input that was read and not consumed.
 func (s *Stream) Unread() []byte { return s.input.buffer[s.input.consumed:] }
 
--- a/internal/front/connection.go
+++ b/internal/front/connection.go
@@ -20,7 +20,8 @@
 	reading      bool          // part of a message was received
 	hasRequested bool          // the client has sent a request
 	idleSince    time.Duration // start of the idle time, or of the wait for the rest of a message
-	unsent       int           // bytes that the client had not read at the latest check
+	liveness     liveness
+	unsent       int // bytes that the client had not read at the latest check
 	link         linkedlist.Element[*Connection]
 }
 
@@ -54,9 +55,9 @@
 }
 
 // BeginRead reports whether input may be read from the connection. No input is read while the client does not read its
-// responses, nor while a half-close is being confirmed. The first read of a message starts its timeout.
+// responses, nor while a half-close or the client's presence is being confirmed. The first read of a message starts its timeout.
 func (c *Connection) BeginRead() bool {
-	if c.Stream.Unsent() > 0 || c.Stream.ConfirmingHalfClose() {
+	if c.Stream.Unsent() > 0 || c.Stream.ConfirmingHalfClose() || !c.confirmLiveness() {
 		return false
 	}
 	if c.hasRequested && !c.reading {
