Tests reserve the addresses of the servers that they start

Cause: the tests took a port of the kernel's choice, closed it, and gave it to a server that starts later. Between the two the kernel may give the same port to any other socket: here to the first member, which listens on a port of the kernel's choice too.

Change: internal/testaddress holds the port with a bound socket that does not listen until the test ends. The kernel gives it to no other socket, by bind or by connect, while the server, which sets SO_REUSEADDR, can listen on it, and again after a restart. All seven copies are gone. Checks of the tests are unchanged.

Left: play.FreeAddrs, which no test uses for a server that starts later.

--- a/cmd/passtack/config_test.go
+++ b/cmd/passtack/config_test.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"passtack/internal/testaddress"
 )
 
 // startControlMachines starts three control machines as processes. It returns their addresses, and a function that starts one of them again.
@@ -16,7 +18,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	for range 3 {
-		addresses = append(addresses, freeAddress(t))
+		addresses = append(addresses, testaddress.Reserve(t))
 	}
 	machines = make([]*process, 3)
 	start = func(n int) {
@@ -50,10 +52,10 @@
 		os.WriteFile(path, []byte(text), 0o600)
 		return path
 	}
-	front := "front \"odata\" \"offices\" {\n  listen = \"" + freeAddress(t) + "\"\n  set \"Items\" {\n    key = \"Id\"\n    groups = [0]\n    property \"Id\" {}\n    operation \"read\" {\n" +
+	front := "front \"odata\" \"offices\" {\n  listen = \"" + testaddress.Reserve(t) + "\"\n  set \"Items\" {\n    key = \"Id\"\n    groups = [0]\n    property \"Id\" {}\n    operation \"read\" {\n" +
 		"      method = \"own-read\"\n      statement = \"SELECT doc FROM items WHERE id = {key}\"\n    }\n  }\n}\n"
 	startDriver := func(name, more string) {
-		text := strings.NewReplacer(`"n0"`, fmt.Sprintf("%q", name), "127.0.0.1:6543", freeAddress(t), "127.0.0.1:8500", freeAddress(t)).Replace(testSite)
+		text := strings.NewReplacer(`"n0"`, fmt.Sprintf("%q", name), "127.0.0.1:6543", testaddress.Reserve(t), "127.0.0.1:8500", testaddress.Reserve(t)).Replace(testSite)
 		configurationBlock := fmt.Sprintf("configuration {\n  fleet = \"shop\"\n  machines = [%q, %q, %q]\n}\n", addresses[0], addresses[1], addresses[2])
 		startProcess(t, "serve", "--site", file(name+".json", text), "--operator", file(name+".hcl", configurationBlock+more))
 	}
--- a/cmd/passtack/descriptors_test.go
+++ b/cmd/passtack/descriptors_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"passtack/internal/testaddress"
 )
 
 // Guards against a reload that fails for lack of descriptors. Idle clients use all that they may, and the system's limit allows no more: the
@@ -22,14 +24,14 @@
 		t.Fatal(err)
 	}
 	defer agent.Close()
-	address, file := freeAddress(t), filepath.Join(t.TempDir(), "site.json")
+	address, file := testaddress.Reserve(t), filepath.Join(t.TempDir(), "site.json")
 	write := func(discovery string) {
 		text := strings.Replace(fmt.Sprintf(readySiteTemplate, 1, address, discovery, 1, outdatedList), `"sockets":256`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 	}
-	write(freeAddress(t)) // nothing listens there
+	write(testaddress.Reserve(t)) // nothing listens there
 	c := exec.Command("bash", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" serve --site "$1"`, sockets), os.Args[0], file)
 	c.Env = append(os.Environ(), "PASSTACK_ITSELF=1")
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/cmd/passtack/main_test.go
+++ b/cmd/passtack/main_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"passtack/internal/pgwire"
+	"passtack/internal/testaddress"
 )
 
 // testSite is the site file of a driver, for tests that need a valid one.
@@ -122,12 +123,7 @@
 	dir := t.TempDir()
 	script, siteFile := filepath.Join(dir, "short.hcl"), filepath.Join(dir, "site.json")
 	os.WriteFile(script, []byte(shortScript), 0o600)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := l.Addr().String()
-	l.Close()
+	address := testaddress.Reserve(t)
 	var children []*exec.Cmd
 	start := func(args ...string) {
 		c := exec.Command(os.Args[0], args...)
--- a/cmd/passtack/ready_test.go
+++ b/cmd/passtack/ready_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"passtack/internal/pgwire"
+	"passtack/internal/testaddress"
 )
 
 // readySiteTemplate is a site file, whose initial endpoint list is outdated or missing.
@@ -71,12 +72,12 @@
 	defer silent.Close()
 	for name, c := range map[string]struct{ discovery, known string }{
 		"silent, outdated list": {silent.Addr().String(), outdatedList}, "silent, no list": {silent.Addr().String(), "null"},
-		"rejecting, no list": {freeAddress(t), "null"},
+		"rejecting, no list": {testaddress.Reserve(t), "null"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var files, addresses []string
 			for i := range drivers {
-				addresses = append(addresses, freeAddress(t))
+				addresses = append(addresses, testaddress.Reserve(t))
 				files = append(files, filepath.Join(t.TempDir(), "site.json"))
 				text := fmt.Sprintf(readySiteTemplate, i, addresses[i], c.discovery, i+1, c.known)
 				if err := os.WriteFile(files[i], []byte(text), 0o600); err != nil {
--- a/cmd/passtack/restart_test.go
+++ b/cmd/passtack/restart_test.go
@@ -24,6 +24,7 @@
 	"passtack/internal/persist"
 	"passtack/internal/pgwire"
 	"passtack/internal/storage"
+	"passtack/internal/testaddress"
 )
 
 // primary is a stand-in for a primary. It records the statements it receives, except empty queries.
@@ -100,16 +101,6 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // process is the program, started by a test.
 type process struct {
 	command *exec.Cmd
@@ -195,12 +186,12 @@
 // A driver is killed after it has answered an idempotent create. After the restart it has to replay the answer to a repeat instead of executing it
 // again, and reject an unknown request that was first sent before the records it has, as that may have been executed.
 func TestIdempotentRequestsSurviveKill(t *testing.T) {
-	dir, member, frontAddress, controlAddress := t.TempDir(), startPrimary(t), freeAddress(t), freeAddress(t)
+	dir, member, frontAddress, controlAddress := t.TempDir(), startPrimary(t), testaddress.Reserve(t), testaddress.Reserve(t)
 	folder := filepath.Join(dir, "state")
 	os.Mkdir(folder, 0o700)
 	siteFile, operatorFile := filepath.Join(dir, "site.json"), filepath.Join(dir, "operator.hcl")
 	known := fmt.Sprintf(`{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":%q,"az":"a","pod_group":0,"state":"in_service","capacity_hint":1,"boot_ms":0}]}`, member.listener.Addr())
-	os.WriteFile(siteFile, fmt.Appendf(nil, siteTemplate, freeAddress(t), 64, known), 0o600)
+	os.WriteFile(siteFile, fmt.Appendf(nil, siteTemplate, testaddress.Reserve(t), 64, known), 0o600)
 	os.WriteFile(operatorFile, fmt.Appendf(nil, `state {
   folder = %q
   every = "100ms"
@@ -273,7 +264,7 @@
 // A driver with a memory limit of 32 MB has to restore the state of 10,000 members and 100,000 sessions, and save it again within the limit.
 func TestLargeStateFitsSmallDriver(t *testing.T) {
 	const members, sessions = 10_000, 100_000
-	dir, controlAddress := t.TempDir(), freeAddress(t)
+	dir, controlAddress := t.TempDir(), testaddress.Reserve(t)
 	folder := filepath.Join(dir, "state")
 	os.Mkdir(folder, 0o700)
 	store, _, err := persist.Open(folder, "n0", 32<<20)
@@ -306,7 +297,7 @@
 	store.Close()
 	known, _ := json.Marshal(map[string]any{"rev": 1, "all": true, "targets": targets})
 	siteFile, operatorFile := filepath.Join(dir, "site.json"), filepath.Join(dir, "operator.hcl")
-	os.WriteFile(siteFile, fmt.Appendf(nil, siteTemplate, freeAddress(t), 32, known), 0o600)
+	os.WriteFile(siteFile, fmt.Appendf(nil, siteTemplate, testaddress.Reserve(t), 32, known), 0o600)
 	os.WriteFile(operatorFile, fmt.Appendf(nil, "state {\n folder = %q\n every = \"100ms\"\n}\ncontrol { listen = %q }\n", folder, controlAddress), 0o600)
 	p := serveProcess(t, "--site", siteFile, "--operator", operatorFile)
 	if !strings.Contains(p.log.String(), "members=10000 sessions=100000") {
@@ -356,7 +347,7 @@
 
 // A voter whose lease folder belongs to another driver has to start without it, and log that its lease storage is unusable.
 func TestUnusableLeaseStorageIsReported(t *testing.T) {
-	dir, peerAddress, controlAddress := t.TempDir(), freeAddress(t), freeAddress(t)
+	dir, peerAddress, controlAddress := t.TempDir(), testaddress.Reserve(t), testaddress.Reserve(t)
 	folder := filepath.Join(dir, "votes")
 	os.Mkdir(folder, 0o700)
 	store, _, err := persist.Open(folder, "another", 1<<20)
@@ -368,7 +359,7 @@
 	}
 	store.Close()
 	siteFile, operatorFile := filepath.Join(dir, "site.json"), filepath.Join(dir, "operator.hcl")
-	text := strings.Replace(fmt.Sprintf(siteTemplate, freeAddress(t), 64, `{"rev":1,"all":true,"targets":[]}`), `"limits"`, fmt.Sprintf(`"peer_listen":%q,"peers_all":"127.0.0.1:1","peers":[%q],"limits"`, peerAddress, peerAddress), 1)
+	text := strings.Replace(fmt.Sprintf(siteTemplate, testaddress.Reserve(t), 64, `{"rev":1,"all":true,"targets":[]}`), `"limits"`, fmt.Sprintf(`"peer_listen":%q,"peers_all":"127.0.0.1:1","peers":[%q],"limits"`, peerAddress, peerAddress), 1)
 	os.WriteFile(siteFile, []byte(text), 0o600)
 	os.WriteFile(operatorFile, fmt.Appendf(nil, `control { listen = %q }
 leases {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,17 +10,13 @@
 	"time"
 
 	"passtack/internal/eventloop"
+	"passtack/internal/testaddress"
 )
 
 // serve answers queries at a free address until the test ends, and returns the address.
 func serve(t *testing.T, answers Handlers) string {
 	t.Helper()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := free.Addr().String()
-	free.Close()
+	address := testaddress.Reserve(t)
 	l, err := eventloop.New(200, 1<<20)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"passtack/internal/testaddress"
 )
 
 // echoHandler sends its input back. It panics on input that starts with '!'.
@@ -42,12 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address = netip.MustParseAddrPort(probe.Addr().String())
-	probe.Close()
+	address = netip.MustParseAddrPort(testaddress.Reserve(t))
 	if _, err := l.Listen(address, 64<<10, AcceptLimiter{}, func(open func(Handler) *Stream) {
 		e := &echoHandler{ignoresInput: ignoresInput}
 		e.stream = open(e)
--- a/internal/hostile/driver_test.go
+++ b/internal/hostile/driver_test.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"testing"
 	"time"
 
+	"passtack/internal/testaddress"
 	"passtack/internal/testprogram"
 )
 
@@ -89,7 +89,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &deployment{listen: freeAddress(t), odata: freeAddress(t), ended: make(chan struct{})}
+	d := &deployment{listen: testaddress.Reserve(t), odata: testaddress.Reserve(t), ended: make(chan struct{})}
 	for i := range 3 {
 		d.members = append(d.members, startMember(t, i, work))
 	}
@@ -200,13 +200,3 @@
 	n, _ := strconv.Atoi(strings.Fields(rest + " 0")[0])
 	return float64(n) / 1024
 }
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/internal/node/client_disconnect_test.go
+++ b/internal/node/client_disconnect_test.go
@@ -11,6 +11,7 @@
 
 	"passtack/internal/eventloop/sim"
 	"passtack/internal/pgwire"
+	"passtack/internal/testaddress"
 )
 
 // disconnections are the ways in which a client can leave. A half-close is not among them, as such a client still reads.
@@ -138,7 +139,7 @@
 				<-release
 				return respondAsLeader(c, q)
 			})
-			d := startDriver(t, freeAddress(t), 100, endpointList(1, true, endpointEntry(0, 0, m.listener.Addr(), "in_service")))
+			d := startDriver(t, testaddress.Reserve(t), 100, endpointList(1, true, endpointEntry(0, 0, m.listener.Addr(), "in_service")))
 			client := dialPG(t, d.address)
 			client.SetReadDeadline(time.Now().Add(5 * time.Second))
 			for kind := byte(0); kind != 'Z'; { // the startup is accepted
--- a/internal/node/driver_test.go
+++ b/internal/node/driver_test.go
@@ -12,18 +12,9 @@
 	"time"
 
 	"passtack/internal/pgwire"
+	"passtack/internal/testaddress"
 )
 
-// freeAddress returns a local address that was free a moment ago.
-func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // listenLocal listens on a free address until the test ends.
 func listenLocal(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,35 +55,38 @@
 // file: configFor returns its text, with a free address for a listener.
 func buildDriverWithConfig(t testing.TB, discovery string, sockets int, initialList, settings string, configFor func(address string) string) *Node {
 	if discovery == "" {
-		discovery = freeAddress(t)
-	}
-	open, err := os.ReadDir("/proc/self/fd") // the fake members and clients of this process use descriptors too
-	if err != nil {
-		t.Fatal(err)
+		discovery = testaddress.Reserve(t)
 	}
 	file := filepath.Join(t.TempDir(), "site.json")
-	for range 5 { // another process may have taken a free address meanwhile
+	var failed error
+	for range 5 { // the port of the datagrams is not reserved: another process may use it
+		listen, peerListen, operatorListen := testaddress.Reserve(t), testaddress.Reserve(t), testaddress.Reserve(t)
+		open, err := os.ReadDir("/proc/self/fd") // the fake members and clients of this process use descriptors too
+		if err != nil {
+			t.Fatal(err)
+		}
 		os.WriteFile(file, fmt.Appendf(nil, `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"peer_listen":"%s","peers":["127.0.0.1:9"],"peers_all":"127.0.0.1:9",
-"known":%s,"settings":%s}`, freeAddress(t), discovery, sockets+len(open), freeAddress(t), initialList, settings), 0o600)
-		site, failed := ReadSite(file, func(string) string { return "" })
-		if failed != nil {
-			t.Fatal(failed)
+"known":%s,"settings":%s}`, listen, discovery, sockets+len(open), peerListen, initialList, settings), 0o600)
+		site, err := ReadSite(file, func(string) string { return "" })
+		if err != nil {
+			t.Fatal(err)
 		}
 		if configFor != nil {
 			site.ConfigFile = filepath.Join(t.TempDir(), "passtack.hcl")
-			os.WriteFile(site.ConfigFile, []byte(configFor(freeAddress(t))), 0o600)
+			os.WriteFile(site.ConfigFile, []byte(configFor(operatorListen)), 0o600)
 		}
-		cfg, failed := site.ReadConfig()
-		if failed != nil {
-			t.Fatal(failed)
+		cfg, err := site.ReadConfig()
+		if err != nil {
+			t.Fatal(err)
 		}
-		var n *Node
-		if n, err = New(site, cfg); err == nil {
+		n, err := New(site, cfg)
+		if err == nil {
 			return n
 		}
+		failed = err
 	}
-	t.Fatal(err)
+	t.Fatal(failed)
 	return nil
 }
 
--- a/internal/soak/driver_test.go
+++ b/internal/soak/driver_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"os/exec"
 	"strings"
 	"sync"
@@ -150,13 +149,3 @@
 		p.pauses.Done()
 	})
 }
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"passtack/internal/testaddress"
 )
 
 var (
@@ -107,7 +109,7 @@
 		members = append(members, startMember(t, i, r.record, faults, newRNG()))
 	}
 	r.discovery = startDiscovery(t, r.record, members)
-	address := freeAddress(t)
+	address := testaddress.Reserve(t)
 	r.writeFiles(address)
 	r.clients = &clientGroup{record: r.record, address: address, stop: make(chan struct{}), name: fmt.Sprintf("s%d", s.seed),
 		deadlines: []time.Duration{s.maxDeadline, s.maxDeadline * 3 / 4, s.maxDeadline / 2}}
