The memory of drain state is measured as the median of five larger samples

Cause: the drain state of 100 members takes some 5 KB. When other code of the test process releases as much between the two readings of the heap, the difference is negative.

Change: 32 trackers are held at once, and the median of five measurements counts. The test and its limits are as they were.

--- a/internal/lab/capacity/lists.go
+++ b/internal/lab/capacity/lists.go
@@ -203,14 +203,36 @@
 	return nil
 }
 
+const (
+	drainMeasurements = 5  // a single release of memory by other code during one of them changes no median
+	drainTrackers     = 32 // held at once, so that other changes of the heap weigh little
+)
+
 // drainStateBytes returns the heap bytes that a driver holds for the drain state of the given number of members.
 func drainStateBytes(members int) float64 {
+	var measured []float64
+	for range drainMeasurements {
+		measured = append(measured, drainTrackersBytes(members)/drainTrackers)
+	}
+	return median(measured)
+}
+
+// drainTrackersBytes returns the heap bytes of drainTrackers drivers' drain state.
+func drainTrackersBytes(members int) float64 {
+	var trackers [drainTrackers]*draingossip.Tracker
 	before := heapInUse()
+	for i := range trackers {
+		trackers[i] = newDrainTracker(members)
+	}
+	after := heapInUse()
+	runtime.KeepAlive(&trackers)
+	return after - before
+}
+
+func newDrainTracker(members int) *draingossip.Tracker {
 	tracker := draingossip.NewTracker()
 	for m := range members {
 		tracker.UpdateFromList(draingossip.MemberID(m)*0x9e3779b97f4a7c15, draingossip.Member{Group: driver.Group(m / 2), StartedAt: epoch, State: driver.Ready}, true)
 	}
-	after := heapInUse()
-	runtime.KeepAlive(tracker)
-	return after - before
+	return tracker
 }
