Tests of bytes behind the startup answer and of answers of draining members

Shown: without onlyUnsolicited the first test fails in two of its three rows (the query is sent and answered); without the check for draining the second one finds one barrier sent. Both pass with them. No product code changed.

--- a/internal/member/barrier_test.go
+++ b/internal/member/barrier_test.go
@@ -154,3 +154,39 @@
 		t.Errorf("%d of %d connections were closed for what came behind an answer", closed, m.opened)
 	}
 }
+
+// Guards against a complete answer behind that to the startup, which would be taken for the answer to the first request.
+func TestAnswerBehindTheStartupIsNotTakenForOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		behind  []byte
+		queries int
+		outcome driver.Outcome
+	}{
+		"an answer":                     {pgwire.AppendEmptyQueryResponse(nil), 0, driver.NoConnection},
+		"half of a message":             {pgwire.AppendEmptyQueryResponse(nil)[:3], 0, driver.NoConnection},
+		"a notice, which may come then": {noticeMessage(), 1, driver.Misdirected},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, ms, true)
+			f.member.behindStartup = c.behind
+			f.send(1, time.Hour+time.Second, time.Hour+time.Second, 100)
+			f.check(t, 1, c.outcome, c.queries)
+		})
+	}
+}
+
+func noticeMessage() []byte {
+	const text = "SNOTICE\x00Mx\x00\x00"
+	return append(pgwire.AppendHead(nil, 'N', len(text)), text...)
+}
+
+// Guards against a barrier to a member that drains, which would be something new to it, and against a connection to it that is kept.
+func TestNothingIsSentToADrainingMemberBehindItsAnswer(t *testing.T) {
+	f := newFixture(t, ms, true)
+	f.send(1, time.Hour+time.Second, time.Hour+time.Second, 100)
+	f.loop.At(time.Hour+4*ms, func() { f.pool.SetDraining(1, true) }) // before the answer
+	f.check(t, 1, driver.Misdirected, 1)
+	if f.member.barriers != 0 || f.member.closed != 1 || f.pool.Open() != 0 {
+		t.Errorf("%d barriers, %d connections closed, %d open", f.member.barriers, f.member.closed, f.pool.Open())
+	}
+}
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -36,9 +36,11 @@
 	connectDelay              time.Duration // time to accept one greeting
 	freeAt                    time.Duration // time at which all greetings received so far are accepted
 	opened                    int
-	connecting, maxConnecting int // connections whose greeting is not yet accepted: at present, and the highest number so far
-	queries                   int // complete queries received
-	closed                    int // connections that the pool closed
+	connecting, maxConnecting int    // connections whose greeting is not yet accepted: at present, and the highest number so far
+	queries                   int    // complete queries received
+	barriers                  int    // empty queries received
+	behindStartup             []byte // sent together with the answer to a greeting
+	closed                    int    // connections that the pool closed
 }
 
 type memberConnection struct {
@@ -62,7 +64,7 @@
 		m.freeAt = max(m.freeAt, m.loop.Now()) + m.connectDelay
 		m.loop.At(m.freeAt, func() {
 			m.connecting--
-			c.stream.Send(pgwire.AppendAuthenticationOK(nil, 1, 1))
+			c.stream.Send(pgwire.AppendAuthenticationOK(nil, 1, 1), m.behindStartup)
 		})
 		return size
 	}
@@ -71,6 +73,7 @@
 		return 0
 	}
 	if len(body) == 1 { // the empty query
+		m.barriers++
 		c.stream.Send(pgwire.AppendEmptyQueryResponse(nil))
 		return size
 	}
