Barriers share one timer for each connection, and the probe is encoded once

Change: a timer was set and cancelled for each barrier; now one runs on and looks when it fires whether the latest barrier has waited too long. The bytes of the probe are encoded once for each pool.

The rest of the barrier's cost is one write and one read more.

TestUnansweredBarrierClosesTheConnection: the time runs from the latest barrier.

--- a/internal/member/barrier.go
+++ b/internal/member/barrier.go
@@ -1,6 +1,9 @@
 package member
 
-import "hash/maphash"
+import (
+	"hash/maphash"
+	"time"
+)
 
 // responseSeed seeds the checksums of responses.
 var responseSeed = maphash.MakeSeed()
@@ -11,21 +14,43 @@
 // to the next request.
 type barrier struct {
 	pending  bool
-	response uint64 // checksum of the response before it
+	response uint64        // checksum of the response before it
+	sentAt   time.Duration // of the latest barrier
+	watched  bool          // a timer is set that calls checkBarrier
 }
 
 // sendBarrier sends a barrier behind a response with the given checksum.
 func (c *connection) sendBarrier(response uint64) {
-	p := c.pool
-	c.barrier = barrier{pending: true, response: response}
+	c.barrier.pending, c.barrier.response, c.barrier.sentAt = true, response, c.pool.loop.Now()
 	c.member.barriers++
 	c.responseStarted = false
-	c.stream.Send(p.protocol.EncodeProbe())
-	c.timer = p.loop.At(p.loop.Now()+p.connectTimeout, func() {
-		if p.connections.Get(c.handle) == c && c.barrier.pending {
-			c.discard("members_closed_silent")
-		}
-	})
+	c.stream.Send(c.pool.encodedProbe)
+	if !c.barrier.watched {
+		c.watchBarrier()
+	}
+}
+
+// watchBarrier sets a timer for the answer to the barrier. It runs on if the answer comes, and serves later barriers too: timers are
+// set once in a while rather than for each response.
+func (c *connection) watchBarrier() {
+	c.barrier.watched = true
+	c.pool.loop.At(c.barrier.sentAt+c.pool.connectTimeout, c.checkBarrier)
+}
+
+// checkBarrier closes the connection if the answer to the barrier has not come in time.
+func (c *connection) checkBarrier() {
+	p := c.pool
+	if p.connections.Get(c.handle) != c {
+		return
+	}
+	c.barrier.watched = false
+	switch {
+	case !c.barrier.pending:
+	case p.loop.Now()-c.barrier.sentAt >= p.connectTimeout:
+		c.discard("members_closed_silent")
+	default:
+		c.watchBarrier()
+	}
 }
 
 // barrierInput parses input while the answer to a barrier is outstanding, and returns the bytes consumed. Anything but that answer
@@ -41,7 +66,6 @@
 		return 0
 	}
 	c.endBarrier()
-	c.pool.loop.Cancel(c.timer)
 	if c.address != c.member.address || c.member.draining {
 		c.discard("")
 		return 0
--- a/internal/member/barrier_test.go
+++ b/internal/member/barrier_test.go
@@ -190,3 +190,21 @@
 		t.Errorf("%d barriers, %d connections closed, %d open", f.member.barriers, f.member.closed, f.pool.Open())
 	}
 }
+
+// Guards against a connection that waits without end for the answer to a barrier, and against one that is closed too early as the time of
+// an earlier barrier is over.
+func TestUnansweredBarrierClosesTheConnection(t *testing.T) {
+	const connectTimeout, later = 250 * ms, 200 * ms
+	f := newFixture(t, ms, true)
+	f.member.maxBarriers = 1
+	f.send(1, time.Hour+time.Second, time.Hour+time.Second, 100)
+	f.loop.At(time.Hour+later, func() { f.send(2, time.Hour+time.Second, time.Hour+time.Second, 100) })
+	f.check(t, 2, driver.Misdirected, 2)
+	closedAfter := f.member.closedAt - time.Hour - later
+	if f.member.opened != 1 || f.member.closed != 1 || closedAfter < connectTimeout || closedAfter > connectTimeout+20*ms {
+		t.Errorf("%d of %d connections closed, the last one %v after the second attempt", f.member.closed, f.member.opened, closedAfter)
+	}
+	if f.recorder.counts["members_closed_silent"] != 1 {
+		t.Errorf("counters: %v", f.recorder.counts)
+	}
+}
--- a/internal/member/connection.go
+++ b/internal/member/connection.go
@@ -111,7 +111,7 @@
 
 func (c *connection) writeProbe() {
 	c.responseStarted, c.errorReceived, c.written = false, false, true
-	c.stream.Send(c.pool.protocol.EncodeProbe())
+	c.stream.Send(c.pool.encodedProbe)
 }
 
 // Input implements eventloop.Handler. It consumes complete responses only, and uses no part of a malformed one.
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -22,6 +22,7 @@
 	loop           *eventloop.Loop
 	outcomes       driver.OutcomeHandler
 	protocol       Protocol
+	encodedProbe   []byte
 	members        map[driver.Member]*member
 	connections    slotmap.Map[*connection]
 	attempts       slotmap.Map[*attempt]
@@ -52,7 +53,7 @@
 func New(l *eventloop.Loop, outcomes driver.OutcomeHandler, protocol Protocol, connectLimiter *recovery.ConnectLimiter,
 	connectTimeout, idleTimeout time.Duration) *Pool {
 	p := &Pool{
-		loop: l, outcomes: outcomes, protocol: protocol, members: make(map[driver.Member]*member), connectLimiter: connectLimiter,
+		loop: l, outcomes: outcomes, protocol: protocol, encodedProbe: protocol.EncodeProbe(), members: make(map[driver.Member]*member), connectLimiter: connectLimiter,
 	}
 	p.SetTimeouts(connectTimeout, idleTimeout)
 	return p
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -36,11 +36,13 @@
 	connectDelay              time.Duration // time to accept one greeting
 	freeAt                    time.Duration // time at which all greetings received so far are accepted
 	opened                    int
-	connecting, maxConnecting int    // connections whose greeting is not yet accepted: at present, and the highest number so far
-	queries                   int    // complete queries received
-	barriers                  int    // empty queries received
-	behindStartup             []byte // sent together with the answer to a greeting
-	closed                    int    // connections that the pool closed
+	connecting, maxConnecting int           // connections whose greeting is not yet accepted: at present, and the highest number so far
+	queries                   int           // complete queries received
+	barriers                  int           // empty queries received
+	maxBarriers               int           // number of empty queries that are answered, if not 0
+	behindStartup             []byte        // sent together with the answer to a greeting
+	closed                    int           // connections that the pool closed
+	closedAt                  time.Duration // of the latest of them
 }
 
 type memberConnection struct {
@@ -49,8 +51,11 @@
 	greeted bool
 }
 
-func (c *memberConnection) Opened()        {}
-func (c *memberConnection) Closed(error)   { c.member.closed++ }
+func (c *memberConnection) Opened() {}
+func (c *memberConnection) Closed(error) {
+	c.member.closed, c.member.closedAt = c.member.closed+1, c.member.loop.Now()
+}
+
 func (c *memberConnection) Panicked(error) {}
 
 func (c *memberConnection) Input(in []byte) int {
@@ -73,7 +78,9 @@
 		return 0
 	}
 	if len(body) == 1 { // the empty query
-		m.barriers++
+		if m.barriers++; m.maxBarriers > 0 && m.barriers > m.maxBarriers {
+			return size
+		}
 		c.stream.Send(pgwire.AppendEmptyQueryResponse(nil))
 		return size
 	}
