Stand-ins of members share one server of PostgreSQL's protocol

The soak, the plays of hostile clients and the restart tests each had a server of their own: accepting, the startup message, messages' bodies, rows, the parameters with role and position. internal/testmember has them once; each test keeps what its members do with a statement.

What the members send is as before, byte for byte; the checks are unchanged. cmd/passtack, internal/soak and internal/hostile pass.

--- a/cmd/passtack/restart_test.go
+++ b/cmd/passtack/restart_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +24,7 @@
 	"passtack/internal/pgwire"
 	"passtack/internal/storage"
 	"passtack/internal/testaddress"
+	"passtack/internal/testmember"
 )
 
 // primary is a stand-in for a primary. It records the statements it receives, except empty queries.
@@ -36,69 +36,28 @@
 
 func startPrimary(t *testing.T) *primary {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &primary{listener: l}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go p.serve(c)
-		}
-	}()
+	p := new(primary)
+	p.listener = testmember.Serve(t, p)
 	return p
 }
 
-func (p *primary) serve(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	read := func() (text []byte, err error) {
-		var length [4]byte
-		if _, err = io.ReadFull(in, length[:]); err != nil {
-			return nil, err
-		}
-		text = make([]byte, binary.BigEndian.Uint32(length[:])-4)
-		_, err = io.ReadFull(in, text)
-		return text, err
-	}
-	if _, err := read(); err != nil {
-		return
-	}
-	parameters := func() []byte {
-		out := pgwire.AppendParameter(nil, "node_role", "leader")
-		return pgwire.AppendParameter(out, "replay_position", fmt.Sprint(time.Now().UnixMilli()))
-	}
-	c.Write(append(parameters(), pgwire.AppendAuthenticationOK(nil, 1, 1)...))
-	for {
-		kind, err := in.ReadByte()
-		if err != nil || kind != 'Q' {
-			return
-		}
-		text, err := read()
-		if err != nil {
-			return
-		}
-		statement := strings.TrimRight(string(text), "\x00")
-		if statement == "" {
-			c.Write(pgwire.AppendReady(append(parameters(), pgwire.AppendHead(nil, 'I', 0)...)))
-			continue
-		}
-		p.mutex.Lock()
-		p.writes = append(p.writes, statement)
-		doc := fmt.Sprintf(`{"Id":"a1","Status":"%d"}`, len(p.writes))
-		p.mutex.Unlock()
-		out := append(pgwire.AppendHead(nil, 'T', 2+4+18), 0, 1, 'd', 'o', 'c', 0)
-		out = append(out, make([]byte, 18)...)
-		out = append(pgwire.AppendHead(out, 'D', 6+len(doc)), 0, 1, 0, 0, byte(len(doc)>>8), byte(len(doc)))
-		out = append(out, doc...)
-		out = append(pgwire.AppendHead(out, 'C', 9), "SELECT 1\x00"...)
-		c.Write(pgwire.AppendReady(append(out, parameters()...)))
-	}
+// Greeting implements testmember.Handler.
+func (p *primary) Greeting() []byte {
+	return pgwire.AppendAuthenticationOK(testmember.Parameters(true), 1, 1)
+}
+
+// Answer implements testmember.Handler.
+func (p *primary) Answer(c net.Conn, statement string) bool {
+	if statement == "" {
+		_, err := c.Write(testmember.Empty(testmember.Parameters(true)))
+		return err == nil
+	}
+	p.mutex.Lock()
+	p.writes = append(p.writes, statement)
+	doc := fmt.Sprintf(`{"Id":"a1","Status":"%d"}`, len(p.writes))
+	p.mutex.Unlock()
+	_, err := c.Write(testmember.Row(doc, testmember.Parameters(true)))
+	return err == nil
 }
 
 // process is the program, started by a test.
--- a/internal/hostile/member_test.go
+++ b/internal/hostile/member_test.go
@@ -1,8 +1,6 @@
 package hostile
 
 import (
-	"bufio"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +12,7 @@
 	"time"
 
 	"passtack/internal/pgwire"
+	"passtack/internal/testmember"
 )
 
 // received is one statement that a member received.
@@ -34,44 +33,18 @@
 
 func startMember(t *testing.T, number int, work time.Duration) *member {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	m := &member{number: number, listener: l, work: work}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go m.serve(c)
-		}
-	}()
+	m := &member{number: number, work: work}
+	m.listener = testmember.Serve(t, m)
 	return m
 }
 
-func (m *member) serve(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	if _, err := readBody(in); err != nil {
-		return
-	}
-	c.Write(pgwire.AppendAuthenticationOK(nil, 1, 1))
-	for {
-		kind, err := in.ReadByte()
-		if err != nil || kind != 'Q' {
-			return
-		}
-		text, err := readBody(in)
-		if err != nil {
-			return
-		}
-		if _, err := c.Write(m.answer(strings.TrimRight(string(text), "\x00"))); err != nil {
-			return
-		}
-	}
+// Greeting implements testmember.Handler.
+func (m *member) Greeting() []byte { return pgwire.AppendAuthenticationOK(nil, 1, 1) }
+
+// Answer implements testmember.Handler.
+func (m *member) Answer(c net.Conn, statement string) bool {
+	_, err := c.Write(m.answer(statement))
+	return err == nil
 }
 
 // answer runs a statement and returns the answer.
@@ -81,27 +54,13 @@
 	}
 	key := string(pgwire.FirstLiteral([]byte(statement)))
 	m.mutex.Lock()
-	m.log = append(m.log, received{commentField(statement, "id"), key, commentField(statement, "k"), time.Now(), m.number == 0})
+	m.log = append(m.log, received{testmember.CommentField(statement, "id"), key, testmember.CommentField(statement, "k"), time.Now(), m.number == 0})
 	m.mutex.Unlock()
 	time.Sleep(m.work)
 	if strings.Contains(statement, "INSERT") && m.number > 0 {
-		return pgwire.AppendReady(m.appendState(pgwire.AppendError(nil, false, "25006", "no primary", -1)))
-	}
-	doc := fmt.Sprintf(`{"Id":%q}`, key)
-	out := append(append(pgwire.AppendHead(nil, 'T', 24), "\x00\x01doc\x00"...), make([]byte, 18)...)
-	out = append(pgwire.AppendHead(out, 'D', 6+len(doc)), 0, 1)
-	out = append(binary.BigEndian.AppendUint32(out, uint32(len(doc))), doc...)
-	out = append(pgwire.AppendHead(out, 'C', 9), "SELECT 1\x00"...)
-	return pgwire.AppendReady(m.appendState(out))
-}
-
-func (m *member) appendState(out []byte) []byte {
-	role := "follower"
-	if m.number == 0 {
-		role = "leader"
+		return pgwire.AppendReady(append(pgwire.AppendError(nil, false, "25006", "no primary", -1), testmember.Parameters(false)...))
 	}
-	out = pgwire.AppendParameter(out, "node_role", role)
-	return pgwire.AppendParameter(out, "replay_position", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	return testmember.Row(fmt.Sprintf(`{"Id":%q}`, key), testmember.Parameters(m.number == 0))
 }
 
 // statements returns the statements received so far.
@@ -132,26 +91,6 @@
 	return runs
 }
 
-func readBody(in *bufio.Reader) ([]byte, error) {
-	var length [4]byte
-	if _, err := io.ReadFull(in, length[:]); err != nil {
-		return nil, err
-	}
-	text := make([]byte, binary.BigEndian.Uint32(length[:])-4)
-	_, err := io.ReadFull(in, text)
-	return text, err
-}
-
-// commentField returns a value of the comment of a statement.
-func commentField(statement, name string) (value string) {
-	pgwire.Comment([]byte(statement), func(n, v []byte, _, _ int) {
-		if string(n) == name {
-			value = string(v)
-		}
-	})
-	return value
-}
-
 func endpointList(members []*member) string {
 	var targets []string
 	for _, m := range members {
--- a/internal/soak/client_test.go
+++ b/internal/soak/client_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"passtack/internal/pgwire"
+	"passtack/internal/testmember"
 )
 
 // method is a kind of request, as the driver's settings define it.
@@ -148,7 +149,7 @@
 		kind, err := in.ReadByte()
 		var body []byte
 		if err == nil {
-			body, err = readMessage(in)
+			body, err = testmember.ReadBody(in)
 		}
 		if err != nil {
 			l.handleEnd(err)
--- a/internal/soak/member_test.go
+++ b/internal/soak/member_test.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"bufio"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,6 +13,7 @@
 	"time"
 
 	"passtack/internal/pgwire"
+	"passtack/internal/testmember"
 )
 
 // member is a stand-in for one database server.
@@ -43,21 +42,8 @@
 
 func startMember(t *testing.T, number int, r *record, faults memberFaults, rng *rand.Rand) *member {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &member{number: number, isPrimary: number == 0, listener: listener, record: r, faults: faults, rng: rng, executedTokens: make(map[string]bool), startedAt: time.Now()}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go m.serve(c)
-		}
-	}()
+	m := &member{number: number, isPrimary: number == 0, record: r, faults: faults, rng: rng, executedTokens: make(map[string]bool), startedAt: time.Now()}
+	m.listener = testmember.Serve(t, m)
 	return m
 }
 
@@ -67,74 +53,25 @@
 	return m.rng.Float64() < probability
 }
 
-// serverParameters returns the ParameterStatus messages with the member's role and replay position, which it sends before ReadyForQuery.
-func (m *member) serverParameters() []byte {
-	role := "follower"
-	if m.isPrimary {
-		role = "leader"
-	}
-	out := pgwire.AppendParameter(nil, "node_role", role)
-	return pgwire.AppendParameter(out, "replay_position", fmt.Sprint(time.Now().UnixMilli()))
-}
-
-func (m *member) serve(c net.Conn) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	if _, err := readMessage(in); err != nil {
-		return
-	}
+// Greeting implements testmember.Handler.
+func (m *member) Greeting() []byte {
 	if m.faults.handshakeDelay > 0 && m.drawFault(0.33) {
 		time.Sleep(m.faults.handshakeDelay)
 	}
-	if _, err := c.Write(append(m.serverParameters(), pgwire.AppendAuthenticationOK(nil, 1, 1)...)); err != nil {
-		return
-	}
-	for {
-		kind, err := in.ReadByte()
-		if err != nil || kind != 'Q' {
-			return
-		}
-		text, err := readMessage(in)
-		if err != nil {
-			return
-		}
-		if !m.answer(c, strings.TrimRight(string(text), "\x00")) {
-			return
-		}
-	}
-}
-
-func readMessage(in *bufio.Reader) ([]byte, error) {
-	var length [4]byte
-	if _, err := io.ReadFull(in, length[:]); err != nil {
-		return nil, err
-	}
-	text := make([]byte, binary.BigEndian.Uint32(length[:])-4)
-	_, err := io.ReadFull(in, text)
-	return text, err
+	return pgwire.AppendAuthenticationOK(testmember.Parameters(m.isPrimary), 1, 1)
 }
 
-// commentField returns the value of a field in the comment of a statement.
-func commentField(statement, name string) string {
-	for _, prefix := range []string{" ", ","} {
-		if _, rest, found := strings.Cut(statement, prefix+name+"="); found {
-			return rest[:strings.IndexAny(rest+" ", ", ")]
-		}
-	}
-	return ""
-}
-
-// answer serves one statement and reports whether the connection stays open.
-func (m *member) answer(c net.Conn, statement string) bool {
+// Answer implements testmember.Handler. It runs one statement, with the member's faults.
+func (m *member) Answer(c net.Conn, statement string) bool {
 	if statement == "" {
-		_, err := c.Write(pgwire.AppendReady(append(m.serverParameters(), pgwire.AppendHead(nil, 'I', 0)...)))
+		_, err := c.Write(testmember.Empty(testmember.Parameters(m.isPrimary)))
 		return err == nil
 	}
-	id, now := commentField(statement, "id"), time.Now()
-	deadlineMS, _ := strconv.Atoi(commentField(statement, "d"))
+	id, now := testmember.CommentField(statement, "id"), time.Now()
+	deadlineMS, _ := strconv.Atoi(testmember.CommentField(statement, "d"))
 	writes := strings.Contains(statement, "INSERT")
 	received := attempt{member: m.number, arrivedAt: now, sentDeadline: time.Duration(deadlineMS) * time.Millisecond, executed: !writes || m.isPrimary}
-	if token := commentField(statement, "k"); token != "" && received.executed {
+	if token := testmember.CommentField(statement, "k"); token != "" && received.executed {
 		m.mutex.Lock()
 		received.executed = !m.executedTokens[token]
 		m.executedTokens[token] = true
@@ -155,13 +92,13 @@
 	m.mutex.Unlock()
 	time.Sleep(wait)
 	if writes && !m.isPrimary {
-		_, err := c.Write(pgwire.AppendReady(append(pgwire.AppendError(nil, false, "25006", "no primary", -1), m.serverParameters()...)))
+		_, err := c.Write(pgwire.AppendReady(append(pgwire.AppendError(nil, false, "25006", "no primary", -1), testmember.Parameters(m.isPrimary)...)))
 		if err == nil {
 			m.record.markRejected(id, m.number)
 		}
 		return err == nil
 	}
-	out := m.row("value of " + id)
+	out := testmember.Row("value of "+id, testmember.Parameters(m.isPrimary))
 	if m.drawFault(m.faults.truncatedFraction) {
 		c.Write(out[:len(out)/2])
 		c.SetReadDeadline(time.Now().Add(20 * time.Second))
@@ -172,15 +109,6 @@
 	return err == nil
 }
 
-func (m *member) row(doc string) []byte {
-	out := append(pgwire.AppendHead(nil, 'T', 2+4+18), 0, 1, 'd', 'o', 'c', 0)
-	out = append(out, make([]byte, 18)...)
-	out = append(pgwire.AppendHead(out, 'D', 6+len(doc)), 0, 1, 0, 0, byte(len(doc)>>8), byte(len(doc)))
-	out = append(out, doc...)
-	out = append(pgwire.AppendHead(out, 'C', 9), "SELECT 1\x00"...)
-	return pgwire.AppendReady(append(out, m.serverParameters()...))
-}
-
 // discovery is a stand-in for the discovery agent, which gives drivers the endpoint list.
 type discovery struct {
 	record   *record
