A keyed RPC that may have run is aborted and never pushed back

Cause: giveUp pushed a keyed RPC that may have run back where the settings say that all members recognize its duplicates. They do so for the window only, and neither protocol tells a client when it ends.

Change: only an RPC that surely has not run, or an idempotent one, is pushed back. A repeat inside its window still succeeds after an abort.

--- a/rules/admission.go
+++ b/rules/admission.go
@@ -98,12 +98,12 @@
 	r.queue = append(r.queue, q)
 }
 
-// giveUp gives an RPC the router's own final answer: a rejection with a retry delay if a retry can do no harm, else an abort.
+// giveUp gives an RPC the router's own final answer: a rejection with a retry delay if a retry can do no harm, else an abort. A retry of a
+// keyed RPC that may have run can do harm: the client may retry after its members have stopped recognizing duplicates.
 func (r *Router) giveUp(q *rpc, retryAfter time.Duration, reason Reason) {
-	meth := q.method
 	r.lastReason = reason
 	r.cancelAttempts(q)
-	if meth.Effect == settings.Idempotent || !q.mayHaveRun && q.openAttempts == 0 || meth.Effect == settings.Keyed && meth.Duplicates == settings.DuplicatesAnywhere {
+	if q.method.Effect == settings.Idempotent || !q.mayHaveRun && q.openAttempts == 0 {
 		r.host.PushBack(q.ID, min(max(retryAfter, 0), r.settings.Duration("caps.longest_wait")))
 	} else {
 		r.host.Abort(q.ID)
--- a/rules/protocolchecks_test.go
+++ b/rules/protocolchecks_test.go
@@ -16,7 +16,7 @@
 	}
 	q.answered = true
 	m := testMethods[q.method]
-	if mayRetry && (q.mayHaveRun || q.openAttempts > 0) && (m.effect == "non-idempotent" || m.effect == "tokened" && m.repeats != "all") {
+	if mayRetry && (q.mayHaveRun || q.openAttempts > 0) && m.effect != "idempotent" { // members forget a token, and the client may retry later
 		c.t.Fatalf("rule 2: %d pushed back after it may have run", id)
 	}
 }
