A log record after the log was closed is dropped instead of crashing

Cause: Close closes the queue, and nothing keeps Write from sending to it. In a process of its own a driver is open to it only while a worker's record crosses its end.

Change: Close marks the writer as closed under a lock that Write reads; a record after it counts as dropped.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -17,8 +17,10 @@
 type LineWriter struct {
 	Level       slog.LevelVar // minimum level
 	RateLimit   atomic.Int64  // maximum number of lines per event and second, errors excepted; 0: unlimited
-	Dropped     atomic.Int64  // lines dropped because the queue was full
+	Dropped     atomic.Int64  // lines dropped because the queue was full or closed
 	RateLimited atomic.Int64  // lines dropped because their event exceeded RateLimit
+	mutex       sync.RWMutex  // of closed
+	closed      bool          // queue is closed
 	queue       chan []byte
 	done        chan struct{} // closed after Close, once all queued lines are written
 }
@@ -102,9 +104,15 @@
 	return &sampler{s.Handler.WithGroup(name), s.lines, s.counter}
 }
 
-// Write implements io.Writer by queueing a copy of the line. It never blocks: if the queue is full, the line is dropped and
-// counted.
+// Write implements io.Writer by queueing a copy of the line. It never blocks: if the queue is full or closed, the line is dropped and
+// counted. A goroutine may still write after Close, with a logger that it took before.
 func (l *LineWriter) Write(line []byte) (int, error) {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	if l.closed {
+		l.Dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case l.queue <- append([]byte(nil), line...):
 	default:
@@ -116,9 +124,16 @@
 // Close discards all later log records and waits up to flushTimeout for the queued lines to be written.
 func (l *LineWriter) Close() {
 	slog.SetDefault(slog.New(slog.DiscardHandler))
-	close(l.queue)
+	l.closeQueue()
 	select {
 	case <-l.done:
 	case <-time.After(flushTimeout):
 	}
 }
+
+func (l *LineWriter) closeQueue() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.closed = true
+	close(l.queue)
+}
