Fronts learn from the attempts whether an RPC without an answer may have run

Cause: PushBack and Abort of a front carried the answer only, and the OData front concluded from it what had happened.

Change: the RPC table keeps whether an attempt may have run, and asks the pool for those in flight (only a fully written one may). Fronts get it with the answer; the registry and the batch's plan record it. An abort of an RPC none of whose attempts was written counts as not run now. The classification of outcomes moved from rules to driver.Outcome, as both need it.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -45,6 +45,25 @@
 	Misdirected          // the member rejected the request, as the member is not the primary or too stale; the request did not run
 )
 
+// MayHaveRun reports whether a member may have run the request of an attempt with this outcome, or may yet.
+func (o Outcome) MayHaveRun() bool {
+	switch o {
+	case Full, NoConnection, NotSent, Misdirected:
+		return false
+	}
+	return true
+}
+
+// Execution says whether a member has run an RPC that got no member's answer.
+type Execution uint8
+
+const (
+	// NotRun means that no attempt has run or can still run.
+	NotRun Execution = iota
+	// MayHaveRun means that an attempt may have run, or may yet.
+	MayHaveRun
+)
+
 // Role is the role that a member reports of itself.
 type Role uint8
 
--- a/driver/interfaces.go
+++ b/driver/interfaces.go
@@ -57,8 +57,8 @@
 	MemberRequest(from Client) *MemberRequest // the client's request; nil: the client no longer waits
 	Connection(of Client) Connection          // the client's connection
 	Answer(to Client, a *Answer)
-	PushBack(to Client, retryAfter time.Duration) // retryAfter 0: no retry delay is given
-	Abort(to Client)
+	PushBack(to Client, execution Execution, retryAfter time.Duration) // retryAfter 0: no retry delay is given
+	Abort(to Client, execution Execution)
 	StopAccepting()                   // takes no new connections, except those that already wait to be accepted
 	Drain()                           // closes each connection as soon as no RPC of it is served
 	CloseIdle(idle time.Duration) int // closes connections that were idle for this long; returns the number of those left
@@ -83,7 +83,8 @@
 	// Attempt sends a request to a member, completely by writeDeadline or not at all. The attempt ends at the deadline at the latest.
 	Attempt(rpc RPC, n int, to Member, writeDeadline, deadline time.Duration, request *MemberRequest) (handle uint32)
 	Cancel(handle uint32)
-	Withdraw(handle uint32) // cancels an attempt unless it is completely sent
+	Withdraw(handle uint32)            // cancels an attempt unless it is completely sent
+	Execution(handle uint32) Execution // of an attempt without an outcome; NotRun for any other
 	Probe(m Member)
 	CloseIdle(m Member)
 	Forget(m Member)
--- a/internal/front/odata/front.go
+++ b/internal/front/odata/front.go
@@ -93,19 +93,22 @@
 }
 
 // PushBack implements driver.Front.
-func (f *Front) PushBack(to driver.Client, retryAfter time.Duration) {
+func (f *Front) PushBack(to driver.Client, execution driver.Execution, retryAfter time.Duration) {
 	if req := f.requests.Get(slotmap.Handle(to)); req != nil {
-		req.finish(idempotency.NotRun, pushBackResponse(retryAfter), 0)
+		req.finish(outcomeWithoutAnswer[execution], pushBackResponse(retryAfter), 0)
 	}
 }
 
 // Abort implements driver.Front.
-func (f *Front) Abort(to driver.Client) {
+func (f *Front) Abort(to driver.Client, execution driver.Execution) {
 	if req := f.requests.Get(slotmap.Handle(to)); req != nil {
-		req.finish(idempotency.Uncertain, abortResponse(), 0)
+		req.finish(outcomeWithoutAnswer[execution], abortResponse(), 0)
 	}
 }
 
+// outcomeWithoutAnswer is the outcome of a request that no member answered.
+var outcomeWithoutAnswer = [...]idempotency.Outcome{driver.NotRun: idempotency.NotRun, driver.MayHaveRun: idempotency.Uncertain}
+
 // Drain implements driver.Front.
 func (f *Front) Drain() { f.connections.Drain() }
 
--- a/internal/front/odata/idempotency.go
+++ b/internal/front/odata/idempotency.go
@@ -42,11 +42,11 @@
 		window = unlimitedWindow
 	}
 	verdict, entry := f.registry.Begin(idempotency.Request{Key: req.idempotencyKey, Digest: digest.Sum64(), FirstSent: req.firstSent, Window: window}, now)
-	reject := func(counter string, status int, code, text string) {
+	reject := func(counter string, outcome idempotency.Outcome, status int, code, text string) {
 		f.handler.Count(counter)
 		r := errorResponse(newError(status, code, "%s", text))
 		r.fields = httpwire.AppendField(r.fields, "Repeatability-Result", "rejected")
-		req.finish(idempotency.NotRun, r, 0)
+		req.finish(outcome, r, 0)
 	}
 	switch verdict {
 	case idempotency.Run:
@@ -61,11 +61,11 @@
 		f.handler.Count("repeats_replayed")
 		req.finish(idempotency.Completed, decodeResponse(entry.Response), 0)
 	case idempotency.TooLate:
-		reject("repeats_rejected", 412, "TooLate", "it may have been done, and a repeat is no longer known; look before asking anew under another id")
+		reject("repeats_rejected", idempotency.Uncertain, 412, "TooLate", "it may have been done, and a repeat is no longer known; look before asking anew under another id")
 	case idempotency.KeyReused:
-		reject("repeats_rejected", 412, "OtherRequest", "this Repeatability-Request-ID was used for another request")
+		reject("repeats_rejected", idempotency.NotRun, 412, "OtherRequest", "this Repeatability-Request-ID was used for another request")
 	case idempotency.FromFuture:
-		reject("repeats_rejected", 400, "BadRequest", "Repeatability-First-Sent lies in the future")
+		reject("repeats_rejected", idempotency.NotRun, 400, "BadRequest", "Repeatability-First-Sent lies in the future")
 	case idempotency.AtCapacity:
 		f.handler.Count("repeats_at_capacity")
 		req.finish(idempotency.NotRun, pushBackResponse(0), 0)
--- a/internal/front/pg/front.go
+++ b/internal/front/pg/front.go
@@ -81,7 +81,7 @@
 }
 
 // PushBack implements driver.Front. The retry delay, if there is one, is the detail of the error, in milliseconds.
-func (f *Front) PushBack(to driver.Client, retryAfter time.Duration) {
+func (f *Front) PushBack(to driver.Client, _ driver.Execution, retryAfter time.Duration) {
 	detail := -1
 	if retryAfter > 0 {
 		detail = int((retryAfter + time.Millisecond - 1) / time.Millisecond)
@@ -90,7 +90,7 @@
 }
 
 // Abort implements driver.Front.
-func (f *Front) Abort(to driver.Client) {
+func (f *Front) Abort(to driver.Client, _ driver.Execution) {
 	f.respond(to, pgwire.AppendError(nil, false, codeSystemError, "aborted", -1), readyMessage)
 }
 
--- a/internal/member/attempt.go
+++ b/internal/member/attempt.go
@@ -28,6 +28,8 @@
 	request       *driver.MemberRequest // a copy, kept until it is written
 	timer         eventloop.Timer
 	queued        linkedlist.Element[*attempt] // element of the member's queue
+	cancelled     bool                         // its outcome is reported later in this iteration of the loop
+	cancelledRun  driver.Execution             // once it is cancelled
 }
 
 // Attempt sends a request to a member with the time that is left until the deadline. A request that is not fully written by
@@ -88,23 +90,46 @@
 
 // Cancel ends an attempt later in this iteration of the loop. Nothing of its request is written after the call.
 func (p *Pool) Cancel(handle uint32) {
-	if a := p.attempts.Get(slotmap.Handle(handle)); a != nil {
-		outcome := driver.Cancelled
-		if a.progress() < FullyWritten {
-			outcome = driver.NotSent
-		}
-		p.detach(a)
-		p.loop.Defer(func() { p.finish(a, outcome, nil) })
+	a := p.attempts.Get(slotmap.Handle(handle))
+	if a == nil || a.cancelled {
+		return
+	}
+	outcome := driver.NotSent
+	if a.execution() == driver.MayHaveRun {
+		outcome = driver.Cancelled
 	}
+	a.cancelled, a.cancelledRun = true, a.execution()
+	p.detach(a)
+	p.loop.Cancel(a.timer)
+	p.loop.Defer(func() { p.finish(a, outcome, nil) })
 }
 
 // Withdraw cancels an attempt that is not fully written. It does not count against the member.
 func (p *Pool) Withdraw(handle uint32) {
-	if a := p.attempts.Get(slotmap.Handle(handle)); a != nil && a.progress() < FullyWritten {
+	if p.Execution(handle) == driver.NotRun {
 		p.Cancel(handle)
 	}
 }
 
+// Execution returns whether an attempt that has no outcome yet may have run: only one that was fully written may.
+func (p *Pool) Execution(handle uint32) driver.Execution {
+	a := p.attempts.Get(slotmap.Handle(handle))
+	if a == nil {
+		return driver.NotRun
+	}
+	return a.execution()
+}
+
+func (a *attempt) execution() driver.Execution {
+	switch {
+	case a.cancelled:
+		return a.cancelledRun
+	case a.progress() >= FullyWritten:
+		return driver.MayHaveRun
+	}
+	return driver.NotRun
+}
+
 func (a *attempt) progress() Progress {
 	if a.connection == nil || a.connection.attempt != a {
 		return NotConnected
--- a/internal/member/attempt_test.go
+++ b/internal/member/attempt_test.go
@@ -106,6 +106,36 @@
 	})
 }
 
+// Guards against a request that counts as not run although its member has it: a cancelled attempt has no connection any more, and looks like
+// one that was never written.
+func TestExecutionOfCancelledAttempts(t *testing.T) {
+	for name, test := range map[string]struct {
+		work      time.Duration // of the member before it accepts the connection
+		execution driver.Execution
+		outcome   driver.Outcome
+		queries   int
+	}{"fully written": {0, driver.MayHaveRun, driver.Cancelled, 1}, "being established": {100 * ms, driver.NotRun, driver.NotSent, 0}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, test.work, true)
+			handle := f.send(1, time.Hour+time.Second, time.Hour+time.Second, 0)
+			f.world.At(time.Hour+4*ms, func() {
+				f.host.Post(func() {
+					before := f.pool.Execution(*handle)
+					f.pool.Cancel(*handle)
+					f.pool.Withdraw(*handle)
+					if after := f.pool.Execution(*handle); before != test.execution || after != test.execution {
+						t.Errorf("execution %d before the cancellation and %d after it, want %d", before, after, test.execution)
+					}
+				})
+			})
+			f.check(t, 1, test.outcome, test.queries)
+			if f.pool.Execution(*handle) != driver.NotRun {
+				t.Error("an attempt that has its outcome counts as in flight")
+			}
+		})
+	}
+}
+
 // unsizedResponder answers a request with a response without a length, and then resets the connection or closes it in order.
 type unsizedResponder struct {
 	stream *eventloop.Stream
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -60,6 +60,7 @@
 		return
 	}
 	q.lastOutcome = outcome
+	q.mayHaveRun = q.mayHaveRun || outcome.MayHaveRun()
 	if role == driver.Primary {
 		n.recovery.PrimaryAnswered(uint16(q.group))
 		n.observePosition(answer.ReportedPosition)
--- a/internal/node/rpcs.go
+++ b/internal/node/rpcs.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"passtack/driver"
@@ -21,6 +22,7 @@
 	attempts     []uint32 // the pool's handles, indexed by the number of the attempt
 	inFlight     int      // attempts that have not ended
 	answered     bool
+	mayHaveRun   bool           // an attempt that has ended may have run
 	answerForced bool           // whether the module was told to answer it before its deadline
 	lastOutcome  driver.Outcome // outcome of the attempt that ended last
 	overdueTimer eventloop.Timer
@@ -106,7 +108,7 @@
 func (t *rpcTable) reject(front driver.Front, client driver.Client, counter, reason string) driver.RPC {
 	t.Count(counter)
 	slog.Debug("RPC rejected", "client", client, "reason", reason)
-	front.PushBack(client, 0)
+	front.PushBack(client, driver.NotRun, 0)
 	return 0
 }
 
@@ -150,6 +152,15 @@
 	}
 }
 
+// execution returns whether an attempt of the RPC may have run. Attempts that are not completely written have to be withdrawn before.
+func (q *rpc) execution() driver.Execution {
+	mayRun := func(attempt uint32) bool { return q.pool.Execution(attempt) == driver.MayHaveRun }
+	if q.mayHaveRun || slices.ContainsFunc(q.attempts, mayRun) {
+		return driver.MayHaveRun
+	}
+	return driver.NotRun
+}
+
 func (t *rpcTable) removeIfDone(id driver.RPC, q *rpc) {
 	if q.answered && q.inFlight == 0 {
 		t.table.Remove(slotmap.Handle(id))
@@ -178,14 +189,14 @@
 // pushBack gives an RPC its final answer: it is rejected, and the client may safely retry it.
 func (t *rpcTable) pushBack(id driver.RPC, retryAfter time.Duration) {
 	if q := t.conclude(id, concludedPushedBack); q != nil {
-		q.listener.front.PushBack(q.client, retryAfter)
+		q.listener.front.PushBack(q.client, q.execution(), retryAfter)
 	}
 }
 
 // abort gives an RPC its final answer: it has failed and may have run.
 func (t *rpcTable) abort(id driver.RPC) {
 	if q := t.conclude(id, concludedAborted); q != nil {
-		q.listener.front.Abort(q.client)
+		q.listener.front.Abort(q.client, q.execution())
 	}
 }
 
--- a/rules/cluster_test.go
+++ b/rules/cluster_test.go
@@ -242,7 +242,7 @@
 		}
 	}
 	q.openAttempts = 0
-	if !surelyNotRun(outcome) && !q.mayHaveRun {
+	if outcome.MayHaveRun() && !q.mayHaveRun {
 		q.mayHaveRun, q.firstRunAt, q.firstRunZone = true, q.sentAt, c.zoneOf(q.member)
 	}
 	if n.servedSinceStart != n.startedAt {
--- a/rules/events.go
+++ b/rules/events.go
@@ -76,7 +76,7 @@
 		r.rememberCommit(q.Session, max(position, a.sentAt))
 	}
 	q.answered = q.answered || complete
-	if surelyNotRun(outcome) {
+	if !outcome.MayHaveRun() {
 		a.rejectedAt = now
 	} else if !q.mayHaveRun {
 		q.mayHaveRun, q.firstRunAt, q.firstRunZone = true, a.sentAt, m.zone
--- a/rules/retries.go
+++ b/rules/retries.go
@@ -76,10 +76,6 @@
 	}
 }
 
-func surelyNotRun(o driver.Outcome) bool {
-	return o == driver.Full || o == driver.NoConnection || o == driver.NotSent || o == driver.Misdirected
-}
-
 // cancelAttempts marks an RPC as answered and cancels its attempts in flight where the host can.
 func (r *Router) cancelAttempts(q *rpc) {
 	q.answered, q.queued = true, false
