The window of a repeatable request counts from its first run

Callers saw: a client whose clock was 1.5 s ahead repeated a write that may have run 1.3 s after its first try, and it ran a second time. With "sticky" a write that was pushed back first, ran later and got no answer was refused at once (412), although its members still dropped repeats.

Members count it from the first attempt that may have run.

Change: an entry keeps when the first run that may have taken effect was allowed and, with "sticky", whether the driver knows all runs. The window counts from that run if so, else from the earlier of it and the stated time. What is stored has not changed.

Evidence, before the change: two effects in 4 of 4 rows of TestAClientClockThatIsAheadDoesNotExtendTheWindow, 412 in place of 204 in 4 of 4 of TestRepeatsOfAWriteThatRanLate, and TestWindowCountsFromTheFirstRun failed after three plays. All pass now; the last one 20 times over.

--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -15,11 +15,14 @@
 	Waiters  []uint32      // handles of the requests that wait for the same response
 	Runner   uint32        // handle of the request that runs
 
-	request    Request
-	state      state
-	mayHaveRun bool
-	finishedAt time.Duration
-	link       linkedlist.Element[*Entry] // in Registry.finished
+	request      Request
+	state        state
+	mayHaveRun   bool
+	allRunsKnown bool          // no other driver or earlier process has run it
+	startedAt    time.Duration // when it was last allowed to run
+	firstRunAt   time.Duration // when the first run that may have taken effect was allowed; set if mayHaveRun is
+	finishedAt   time.Duration
+	link         linkedlist.Element[*Entry] // in Registry.finished
 }
 
 // state is the state of an entry. The numeric values are stored.
@@ -95,6 +98,7 @@
 		},
 		state:      entryState,
 		mayHaveRun: true,
+		firstRunAt: time.Duration(number(3)), // at the latest
 		finishedAt: time.Duration(number(3)),
 	}
 	if entryState == completed && !noResponse {
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -3,10 +3,11 @@
 // duplicates, or is rejected. No request takes effect twice: once the window is over, a request that may be a duplicate of one that
 // ran is rejected.
 //
-// Clients state when a request was first sent. A restart loses the entries that were not persisted (Registry.Persist,
-// Registry.Restore), and other drivers have registries of their own, so an unknown request may be a repeat of one that ran elsewhere.
-// Unless the operator has configured that all repeats of a client come to this driver (Registry.Sticky), an unknown request may
-// therefore only run inside the window that starts when it was first sent.
+// The window starts with the first attempt that may have run. Clients state when a request was first sent. A restart loses the entries
+// that were not persisted (Registry.Persist, Registry.Restore), and other drivers have registries of their own, so an unknown request may
+// be a repeat of one that ran elsewhere. Unless the operator has configured that all repeats of a client come to this driver
+// (Registry.Sticky), a request may therefore only run inside the window that starts when it was first sent. With Sticky, the registry knows
+// all runs of a request from its first try on: one that has not run may run at any time.
 package idempotency
 
 import (
@@ -103,18 +104,18 @@
 		return verdict, nil
 	}
 	e.link.Remove()
-	r.run(e)
+	r.run(e, now)
 	return Run, e
 }
 
 func (r *Registry) beginUnknown(q Request, now time.Duration) (Verdict, *Entry) {
-	e := &Entry{request: q}
+	e := &Entry{request: q, allRunsKnown: r.Sticky && q.FirstSent > r.knownSince}
 	e.link.Value = e
 	if verdict := r.admit(e, now); verdict != Run {
 		return verdict, nil
 	}
 	r.add(e)
-	r.run(e)
+	r.run(e, now)
 	return Run, e
 }
 
@@ -133,14 +134,20 @@
 // deadline returns the time before which attempts may start. It is shortly before the group stops dropping duplicates, unless it is
 // certain that the request has not run.
 func (r *Registry) deadline(e *Entry, now time.Duration) time.Duration {
-	if r.Sticky && !e.mayHaveRun && e.request.FirstSent > r.knownSince {
+	windowStart := e.request.FirstSent // another driver or an earlier process may have run it since
+	switch known := r.Sticky && e.allRunsKnown; {
+	case known && !e.mayHaveRun:
 		return now + noDeadline
+	case known:
+		windowStart = e.firstRunAt
+	case e.mayHaveRun: // the client's clock may be ahead
+		windowStart = min(windowStart, e.firstRunAt)
 	}
-	return e.request.FirstSent + e.request.Window - windowMargin
+	return windowStart + e.request.Window - windowMargin
 }
 
-func (r *Registry) run(e *Entry) {
-	e.state = inProgress
+func (r *Registry) run(e *Entry, now time.Duration) {
+	e.state, e.startedAt = inProgress, now
 	r.inProgress++
 }
 
@@ -163,7 +170,9 @@
 		r.bytes += len(response)
 	} else {
 		e.state = unresolved
-		e.mayHaveRun = e.mayHaveRun || outcome == Uncertain
+		if outcome == Uncertain && !e.mayHaveRun {
+			e.mayHaveRun, e.firstRunAt = true, e.startedAt
+		}
 	}
 	r.finished.PushBack(&e.link)
 	r.persist(e.request.Key, e.encode())
--- a/internal/idempotency/registry_test.go
+++ b/internal/idempotency/registry_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// Guards against a window that is too long since the clock of the client is ahead, whether or not other drivers may have run the request.
+func TestClientClockAheadDoesNotExtendTheWindow(t *testing.T) {
+	for _, sticky := range []bool{false, true} {
+		r := newTestRegistry(sticky)
+		_, e := r.Begin(request("a", 1, 6500*time.Millisecond, window), 5*second)
+		r.Finish(e, Uncertain, nil, 5500*time.Millisecond)
+		if v, e := r.Begin(request("a", 1, 6500*time.Millisecond, window), 6*second); v != Run || e.Deadline >= 5*second+window {
+			t.Errorf("sticky %t: inside the window a repeat gets %d", sticky, v)
+		} else {
+			r.Finish(e, Uncertain, nil, 6100*time.Millisecond)
+		}
+		if v, _ := r.Begin(request("a", 1, 6500*time.Millisecond, window), 6300*time.Millisecond); v != TooLate {
+			t.Errorf("sticky %t: after the window a repeat gets %d", sticky, v)
+		}
+	}
+}
+
 // If all repeats of a client come to this driver, an unknown request after its window is a delayed first attempt, which may run. If
 // not, or if the request was first sent before the driver started, it may be a repeat and must be rejected.
 func TestStickyClients(t *testing.T) {
@@ -168,6 +185,48 @@
 	})
 }
 
+// Guards against a window that counts from the time which the client states instead of the first run: a client whose clock is ahead could have
+// its request run twice, and a repeat of one that ran late would be refused inside its window. All repeats come to one driver here, which
+// must refuse a repeat if the group may have forgotten it, and only then.
+func TestWindowCountsFromTheFirstRun(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		type requestState struct {
+			firstSent       time.Duration
+			ranAt, allowed  time.Duration // when the group first ran it, and when that run was allowed; 0: not yet
+			answered, known bool
+		}
+		r, now, requests := newTestRegistry(true), second, make([]requestState, 4)
+		r.Retention = time.Hour
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 1<<16), 1, 200).Draw(t, "steps") {
+			now += time.Duration(step%400) * time.Millisecond
+			q, choice := &requests[step/400%4], step/1600
+			if !q.known {
+				q.known, q.firstSent = true, now+time.Duration(choice%5-2)*400*time.Millisecond
+			}
+			v, e := r.Begin(request(fmt.Sprint(step/400%4), 1, q.firstSent, window), now)
+			switch {
+			case q.answered != (v == Replay) || v != Run && v != Replay && v != TooLate:
+				t.Fatalf("verdict %d, answered: %t", v, q.answered)
+			case v == TooLate && (q.ranAt == 0 || now < q.allowed+window-windowMargin):
+				t.Fatalf("refused at %v; first run allowed at %v, ran at %v", now, q.allowed, q.ranAt)
+			case v == Run && q.ranAt != 0 && e.Deadline > q.ranAt+window:
+				t.Fatalf("may run again until %v; the group ran it at %v", e.Deadline, q.ranAt)
+			}
+			if v != Run {
+				continue
+			}
+			begun := now
+			now = min(now+time.Duration(choice%7)*50*time.Millisecond, e.Deadline-1) // until an attempt is sent
+			outcome := []Outcome{NotRun, Uncertain, Completed}[choice%3]
+			if outcome != NotRun && q.ranAt == 0 {
+				q.ranAt, q.allowed = now, begun
+			}
+			q.answered = outcome == Completed
+			r.Finish(e, outcome, []byte("done"), now)
+		}
+	})
+}
+
 func TestRequestsWithoutWindowLimitAreNeverTooLate(t *testing.T) {
 	r := newTestRegistry(false)
 	if v, _ := r.Begin(request("a", 1, 5*second, 1<<20*time.Hour), 500*second); v != Run {
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -179,6 +179,38 @@
 	})
 }
 
+// Guards against a window that counts from the time at which the client first sent a write instead of its first run: the write was pushed
+// back first and ran late. A repeat soon after that run must succeed, a later one must be refused.
+func TestRepeatsOfAWriteThatRanLate(t *testing.T) {
+	forEachProtocolAndScope(t, func(t *testing.T, e *endingsCluster) {
+		for name, test := range map[string]struct {
+			pause time.Duration
+			want  int
+		}{"late-inside": {0, 204}, "late-after": {membersRemember, 412}} {
+			w := e.write(name)
+			w.endWithoutAnswer()
+			time.Sleep(time.Until(w.sent.Add(membersRemember + 100*time.Millisecond)))
+			if got := w.repeat(); got != 500 {
+				t.Errorf("%s: the run without an answer got %d, want 500", name, got)
+			}
+			time.Sleep(test.pause)
+			w.check("repeat", w.repeat(), test.want)
+		}
+	})
+}
+
+// Guards against a window that is too long since the client's clock is ahead.
+func TestAClientClockThatIsAheadDoesNotExtendTheWindow(t *testing.T) {
+	forEachProtocolAndScope(t, func(t *testing.T, e *endingsCluster) {
+		w := e.write("hang-ahead")
+		began := w.sent
+		w.sent = w.sent.Add(1500 * time.Millisecond)
+		w.endWithoutAnswer()
+		time.Sleep(time.Until(began.Add(membersRemember + 100*time.Millisecond)))
+		w.check("repeat after the window", w.repeat(), 412)
+	})
+}
+
 // Guards against a retry of a write without an idempotency key of its client, which no member can recognize, after an answer that promises
 // that a retry is harmless.
 func TestWriteWithoutAKeyThatMayHaveRunIsNotPushedBack(t *testing.T) {
