A request that surely has not run is not refused since others were forgotten

Callers saw, with "sticky": a write that was pushed back and surely had not run got 412 after its window, once the registry had forgotten it, or a later request, in a crowd of pushbacks.

Cause: forgetting any request made all requests that were first sent no later count as possible repeats of it.

Change: only a forgotten request that may have run does so.

--- a/internal/idempotency/entry.go
+++ b/internal/idempotency/entry.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// surelyNotRun reports whether a finished request has not run anywhere.
+func (e *Entry) surelyNotRun() bool {
+	return e.state == unresolved && e.allRunsKnown && !e.mayHaveRun
+}
+
 // size returns the memory that the entry takes, in bytes.
 func (e *Entry) size() int { return entryOverhead + len(e.request.Key) + len(e.Response) }
 
--- a/internal/idempotency/registry.go
+++ b/internal/idempotency/registry.go
@@ -69,7 +69,7 @@
 	// Persist, if set, is called with the encoded entry when a request has finished, and with nil when the entry has expired.
 	Persist func(key string, entry []byte)
 
-	knownSince time.Duration // requests first sent at or before this time may have been forgotten
+	knownSince time.Duration // requests that may have run and were first sent at or before this time may have been forgotten
 	entries    map[string]*Entry
 	finished   linkedlist.List[*Entry] // the oldest first
 	bytes      int
@@ -181,7 +181,7 @@
 }
 
 // Expire forgets requests whose retention is over, and the oldest finished ones while the entries exceed MaxBytes. A repeat of a
-// forgotten request may then only run inside its window, even if Sticky is set.
+// forgotten request may then only run inside its window, even if Sticky is set, unless it surely has not run.
 func (r *Registry) Expire(now time.Duration) {
 	for link := r.finished.Front(); link != nil; link = r.finished.Front() {
 		e := link.Value
@@ -191,7 +191,9 @@
 		link.Remove()
 		delete(r.entries, e.request.Key)
 		r.bytes -= e.size()
-		r.knownSince = max(r.knownSince, e.request.FirstSent)
+		if !e.surelyNotRun() {
+			r.knownSince = max(r.knownSince, e.request.FirstSent)
+		}
 		r.persist(e.request.Key, nil)
 	}
 }
--- a/internal/idempotency/registry_test.go
+++ b/internal/idempotency/registry_test.go
@@ -126,6 +126,44 @@
 	}
 }
 
+// Guards against a request that is refused although it surely has not run, because it or others were forgotten in a crowd of rejections. A
+// forgotten request that may have run must be refused.
+func TestForgottenRequestsThatHaveNotRunMayRun(t *testing.T) {
+	for outcome, want := range map[Outcome]Verdict{NotRun: Run, Uncertain: TooLate, Completed: TooLate} {
+		r := newTestRegistry(true)
+		r.MaxBytes = 10_000
+		end := func(key string, firstSent time.Duration, outcome Outcome) {
+			v, e := r.Begin(request(key, 1, firstSent, window), firstSent)
+			if v != Run {
+				t.Fatalf("request %s gets %d", key, v)
+			}
+			r.Finish(e, outcome, nil, firstSent)
+		}
+		end("early", 2*second, outcome)
+		for i := range 100 {
+			end(fmt.Sprint("crowd", i), 3*second, NotRun)
+		}
+		if r.entries["early"] != nil {
+			t.Fatal("the early request is still known")
+		}
+		if v, _ := r.Begin(request("early", 1, 2*second, window), 5*second); v != want {
+			t.Errorf("outcome %d: the forgotten request gets %d, want %d", outcome, v, want)
+		}
+	}
+}
+
+// Guards against a request that is refused although it is known not to have run, because one that was sent later was forgotten.
+func TestForgettingOneRequestDoesNotLimitAnother(t *testing.T) {
+	r := newTestRegistry(true)
+	_, early := r.Begin(request("early", 1, 2*second, window), 2*second)
+	_, late := r.Begin(request("late", 1, 3*second, window), 3*second)
+	r.Finish(late, Uncertain, nil, 3*second)
+	r.Finish(early, NotRun, nil, 12*second)
+	if v, _ := r.Begin(request("early", 1, 2*second, window), 14*second); v != Run || r.entries["late"] != nil {
+		t.Errorf("the request that has not run gets %d; the other one is known: %t", v, r.entries["late"] != nil)
+	}
+}
+
 // A group drops duplicates within a window after the first run. Two drivers get the same requests and are killed at random. Neither
 // may let a request run a second time after the window.
 func TestNoRequestTakesEffectTwice(t *testing.T) {
