A repeat of a keyed RPC is bound by the window of its first try

Callers saw, over the platform's listener: a keyed write was aborted without an answer and repeated with its key inside the window. When the repeat's connection broke, the driver sent it again 1.30 s after the first try, when members (1.2 s) had forgotten it. When members rejected the repeat, it was pushed back ("trying again is harmless") although the first try may have run.

Cause: a repeat is another RPC, and the module knew nothing of the first. The window counted from the repeat's own first attempt.

A repeat counts as one that may have run: its attempts end with that window, and it is aborted when given up. A first try that surely has not run is not kept. driver.RPCHandler.Take gets one struct in place of nine parameters.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -11,6 +11,8 @@
 	Member uint64
 	// Session identifies a client session; 0 means that the request belongs to none.
 	Session uint64
+	// Key is a checksum of the idempotency key by which the members of a group recognize duplicates of an RPC; 0 means that it is unknown.
+	Key uint64
 	// Group identifies a primary and its replicas.
 	Group uint16
 	// Method is the index of a method in the settings.
--- a/driver/interfaces.go
+++ b/driver/interfaces.go
@@ -66,13 +66,22 @@
 	Open() int                        // number of connections
 }
 
+// IncomingRPC is an RPC as a front received it from a client. The fields are described in rules.Request.
+type IncomingRPC struct {
+	Method              Method
+	Group               Group
+	Session             Session
+	Key                 Key
+	ArrivedAt, Deadline time.Duration
+	SinceWrite          time.Duration
+	ClientRetry         bool
+}
+
 // RPCHandler takes the RPCs of the fronts' clients and tells fronts about groups and the members' clock.
 type RPCHandler interface {
-	// Take admits an RPC whose last byte arrived at arrivedAt and whose client waits until the deadline; sinceWrite is as in
-	// rules.Request. An RPC for which it returns 0 has already been answered.
-	Take(front Front, from Client, method Method, group Group, session Session, arrivedAt, deadline, sinceWrite time.Duration, clientRetry bool) RPC
-	ClientLeft(rpc RPC)       // the client no longer waits
-	ClientHalfClosed(rpc RPC) // the client closed its sending side and may still read: attempts in flight go on, no others are sent
+	Take(front Front, from Client, incoming *IncomingRPC) RPC // admits an RPC; one for which it returns 0 has already been answered
+	ClientLeft(rpc RPC)                                       // the client no longer waits
+	ClientHalfClosed(rpc RPC)                                 // the client closed its sending side and may still read: attempts in flight go on, no others are sent
 	FormOf(group Group) Form
 	Count(name string)         // adds 1 to a counter
 	MembersNow() time.Duration // the time by the members' clock, in which positions are given
--- a/internal/front/odata/request.go
+++ b/internal/front/odata/request.go
@@ -89,7 +89,9 @@
 	if position > 0 {
 		sinceCommit = max(1, f.handler.MembersNow()-position)
 	}
-	req.rpc = f.handler.Take(f, driver.Client(req.handle), method, req.group, req.session(), req.http.receivedAt, deadline, sinceCommit, false)
+	req.rpc = f.handler.Take(f, driver.Client(req.handle), &driver.IncomingRPC{ // without a key: the registry knows repeats
+		Method: method, Group: req.group, Session: req.session(), ArrivedAt: req.http.receivedAt, Deadline: deadline, SinceWrite: sinceCommit,
+	})
 }
 
 // session returns the client's session: derived from the Session-Id field, else from the entity's key, or 0 without either.
--- a/internal/front/pg/query.go
+++ b/internal/front/pg/query.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"passtack/driver"
 	"passtack/internal/front"
 	"passtack/internal/pgwire"
@@ -60,6 +62,7 @@
 	group  driver.Group
 	budget time.Duration
 	commit time.Duration // position that a read must see; 0: none
+	key    driver.Key
 }
 
 // validate converts the values of a header. ok is false if one is missing or malformed.
@@ -81,10 +84,18 @@
 	}
 	return rpcFields{
 		method: method, group: driver.Group(group), budget: time.Duration(budget) * time.Millisecond,
-		commit: time.Duration(commit) * time.Millisecond,
+		commit: time.Duration(commit) * time.Millisecond, key: f.keyOf(method, h),
 	}, true
 }
 
+// keyOf returns the checksum of the idempotency key if the method needs one, else 0.
+func (f *Front) keyOf(method driver.Method, h *header) driver.Key {
+	if !f.keyed[method] {
+		return 0
+	}
+	return driver.Key(xxh3.Hash(h.key))
+}
+
 // query handles a query message. It returns how many bytes of the input to consume: none while its RPC is in service.
 func (c *client) query(text []byte, size int) int {
 	f := c.front
@@ -130,7 +141,10 @@
 	c.messageSize, c.textOffset, c.checkedBytes, c.budgetSpan = size, queryTextOffset, max(c.checkedBytes, size), h.budgetSpan
 	c.id = string(h.id)
 	f.ids.Begin(c.id)
-	c.rpc = f.handler.Take(f, driver.Client(c.Handle), fields.method, fields.group, session, receivedAt, deadline, sinceCommit, h.repeat)
+	c.rpc = f.handler.Take(f, driver.Client(c.Handle), &driver.IncomingRPC{
+		Method: fields.method, Group: fields.group, Session: session, Key: fields.key,
+		ArrivedAt: receivedAt, Deadline: deadline, SinceWrite: sinceCommit, ClientRetry: h.repeat,
+	})
 	if c.admitting = false; c.busy {
 		return 0
 	}
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -17,6 +17,7 @@
 type endingsCluster struct {
 	*fakeCluster
 	t            *testing.T // of the row that is played
+	address      string     // of the platform's listener
 	odataAddress string
 }
 
@@ -24,8 +25,12 @@
 func faultByKey(c *memberCall, nth int) memberFault {
 	kind, _, _ := strings.Cut(c.key, "-")
 	switch {
-	case kind == "hang" && nth == 1, kind == "left" && nth == 1, kind == "late" && nth == maxTries+1:
+	case kind == "hang" && nth == 1, kind == "left" && nth == 1, kind == "late" && nth == maxTries+1, nth == 1 && (kind == "pushed" || kind == "cut"):
 		return faultHang
+	case kind == "pushed":
+		return faultFull
+	case kind == "cut" && nth == 2:
+		return faultDisconnect
 	case kind == "error" && nth <= maxTries:
 		return faultError
 	case kind == "full" && nth <= maxTries, kind == "late" && nth <= maxTries:
@@ -45,7 +50,7 @@
 		e.odataAddress = free
 		return officesConfig(free, "repeats { sticky = true }\n", protocol == "pg")
 	})
-	runDriver(t, n)
+	e.address = runDriver(t, n).address
 	return e
 }
 
@@ -62,6 +67,13 @@
 	})
 }
 
+// answerAfter sets the time that members work before each answer.
+func (e *endingsCluster) answerAfter(work time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.wait = work
+}
+
 // repeatableWrite is a create that its client repeats.
 type repeatableWrite struct {
 	cluster *endingsCluster
@@ -273,3 +285,37 @@
 	const part = "--b\r\nContent-Type: application/http\r\n\r\n"
 	return part + write + "\r\n" + part + "GET Applications('read-" + key + "') HTTP/1.1\r\n\r\n\r\n--b--\r\n"
 }
+
+// Guards against the same faults over the platform's listener, where the driver has no registry: a repeat of a write that may have run gets
+// the promise that another try is harmless, or is sent again by the driver once members have forgotten the first try.
+func TestRepeatsOfWritesOverStatements(t *testing.T) {
+	forEachProtocolAndScope(t, func(t *testing.T, e *endingsCluster) {
+		if e.protocol != "pg" {
+			return // these members take no statements
+		}
+		for key, test := range map[string]struct {
+			pause, work time.Duration // before the repeat, and of a member before its answer to the repeat
+			want        string
+		}{"hang-repeated": {0, 0, "ok"}, "pushed": {0, 0, codeAborted}, "cut": {900 * time.Millisecond, 400 * time.Millisecond, codeAborted}} {
+			e.settle()
+			c, sent := dialPG(t, e.address), time.Now()
+			text := func(try string, millis int) string {
+				return fmt.Sprintf("/* id=%s-%s,c=order,d=%d,k=key-%s,cluster=0 */ INSERT INTO items (id, doc) VALUES ('%s', 'x')", key, try, millis, key, key)
+			}
+			if got := c.query(t, text("first", 200)); got != codeAborted {
+				t.Errorf("%s: the first answer is %s, want %s", key, got, codeAborted)
+			}
+			time.Sleep(time.Until(sent.Add(test.pause)))
+			e.answerAfter(test.work)
+			if got := c.query(t, text("second", 900)); !strings.HasPrefix(got, test.want) {
+				t.Errorf("%s: the answer to the repeat is %s, want %s", key, got, test.want)
+			}
+			e.answerAfter(0)
+			for _, call := range e.receivedCalls() {
+				if call.key == key && call.began.After(sent.Add(membersRemember)) {
+					t.Errorf("%s: sent %v after the first try", key, call.began.Sub(sent))
+				}
+			}
+		}
+	})
+}
--- a/internal/node/rpcs.go
+++ b/internal/node/rpcs.go
@@ -73,20 +73,19 @@
 func (t *rpcTable) MembersNow() time.Duration { return t.node.MembersNow() }
 
 // Take admits an RPC and passes it to the module. It returns 0 if the RPC was rejected, which the client has been told.
-func (t *rpcTable) Take(front driver.Front, client driver.Client, method driver.Method, group driver.Group,
-	session driver.Session, arrivedAt, deadline, sinceWrite time.Duration, clientRetry bool) driver.RPC {
+func (t *rpcTable) Take(front driver.Front, client driver.Client, incoming *driver.IncomingRPC) driver.RPC {
 	n := t.node
 	n.Count("rpcs_taken")
-	deadline, accepts := n.shutdown.bound(deadline)
+	deadline, accepts := n.shutdown.bound(incoming.Deadline)
 	if !accepts {
 		return t.reject(front, client, "rpcs_rejected_in_shutdown", "shutdown")
 	}
 	l := n.listeners.byFront[front]
-	n.recovery.GroupUsed(uint16(group))
+	n.recovery.GroupUsed(uint16(incoming.Group))
 	if !l.admits() {
 		return t.reject(front, client, "rpcs_over_quota", "over_quota")
 	}
-	q := &rpc{listener: l, client: client, pool: n.members.poolOf(group), deadline: deadline, group: group}
+	q := &rpc{listener: l, client: client, pool: n.members.poolOf(incoming.Group), deadline: deadline, group: incoming.Group}
 	handle := t.table.Insert(q)
 	if handle == 0 {
 		return t.reject(front, client, "rpcs_table_full", "table_full")
@@ -98,8 +97,8 @@
 	n.traceTaken(id, client, deadline)
 	n.timer.resume()
 	n.module.Take(rules.Request{
-		ID: id, Connection: front.Connection(client), Method: method, Group: group, Session: session,
-		ArrivedAt: arrivedAt, Deadline: deadline, SinceWrite: sinceWrite, ClientRetry: clientRetry,
+		ID: id, Connection: front.Connection(client), Method: incoming.Method, Group: incoming.Group, Session: incoming.Session, Key: incoming.Key,
+		ArrivedAt: incoming.ArrivedAt, Deadline: deadline, SinceWrite: incoming.SinceWrite, ClientRetry: incoming.ClientRetry,
 	})
 	return id
 }
--- a/rules/cluster_test.go
+++ b/rules/cluster_test.go
@@ -90,8 +90,11 @@
 	aborted               map[driver.RPC]bool
 	attempts              int
 	unreachable           []driver.Member
-	minDeadlineMillis     int     // shortest timeout of a client
-	maxWarmLoad           float64 // largest amount of work that was sent to a warm member in eight windows
+	minDeadlineMillis     int // shortest timeout of a client
+	groupOfRequests       int // 1 more than the group of each request; 0: at random
+	nextKey               driver.Key
+	nextTimeout           time.Duration // of the next request; 0: at random
+	maxWarmLoad           float64       // largest amount of work that was sent to a warm member in eight windows
 }
 
 const drainGrace, loadWindow, slowStartDuration = 250 * ms, time.Second, 10 * time.Second
@@ -205,6 +208,12 @@
 	c.lastRPC++
 	q := &simulatedRPC{method: method, group: c.random.Below(2), arrivedAt: c.now, lastAttempt: -1, commit: driver.LongAgo}
 	q.deadline = c.now + time.Duration(c.minDeadlineMillis+c.random.Below(2000-c.minDeadlineMillis))*ms
+	if c.groupOfRequests > 0 {
+		q.group = c.groupOfRequests - 1
+	}
+	if c.nextTimeout > 0 {
+		q.deadline = c.now + c.nextTimeout
+	}
 	c.rpcs[c.lastRPC] = q
 	sinceWrite := time.Duration(0)
 	if commit > 0 {
@@ -212,7 +221,7 @@
 	}
 	c.resumeTicks()
 	c.router.Take(Request{
-		ID: c.lastRPC, Method: driver.Method(method), Group: driver.Group(q.group), Session: 7,
+		ID: c.lastRPC, Method: driver.Method(method), Group: driver.Group(q.group), Session: 7, Key: c.nextKey,
 		ArrivedAt: c.now, Deadline: q.deadline, SinceWrite: sinceWrite,
 	})
 	return c.lastRPC
--- a/rules/events.go
+++ b/rules/events.go
@@ -16,6 +16,7 @@
 	Tenant      driver.Tenant
 	ClientRetry bool // the client declares that it has tried before
 	Session     driver.Session
+	Key         driver.Key
 	ArrivedAt   time.Duration // when its last byte arrived
 	Deadline    time.Duration // when the client stops waiting
 	SinceWrite  time.Duration // time since the session's write that a read must include; 0: there is none
@@ -30,6 +31,7 @@
 	}
 	q := &rpc{Request: request, method: r.methods[request.Method], group: r.groupOf(request.Group), takenAt: now, sendBy: request.Deadline, commit: unknownTime}
 	r.rpcs[q.ID], q.inFlightLink.Value = q, q
+	r.boundByFirstRun(q, now)
 	r.runSkippedScans(now)
 	r.detectPause(now)
 	r.healthCheckBudget = min(r.healthCheckBudget+healthChecksPerRPC, maxHealthCheckBudget)
@@ -80,6 +82,7 @@
 		a.rejectedAt = now
 	} else if !q.mayHaveRun {
 		q.mayHaveRun, q.firstRunAt, q.firstRunZone = true, a.sentAt, m.zone
+		r.rememberFirstRun(q, a)
 	}
 	r.removeIfDone(q)
 	if !q.answered {
--- a/rules/retries.go
+++ b/rules/retries.go
@@ -67,9 +67,7 @@
 	case outcome == driver.TimedOut, outcome == driver.Cancelled:
 		r.giveUp(q, r.settings.Duration("caps.longest_wait"), NoAnswer)
 	case outcome != driver.NotSent && len(q.attempts) < int(r.settings.Number("caps.attempts", 1)) && (!q.mayHaveRun || repeatable):
-		if q.mayHaveRun && q.method.Effect == settings.Keyed {
-			q.sendBy = min(q.sendBy, q.firstRunAt+q.method.RetryWindow-deliveryTime)
-		}
+		q.boundByRetryWindow()
 		r.route(q)
 	default:
 		r.giveUp(q, 0, NoRetry)
@@ -79,9 +77,14 @@
 // cancelAttempts marks an RPC as answered and cancels its attempts in flight where the host can.
 func (r *Router) cancelAttempts(q *rpc) {
 	q.answered, q.queued = true, false
-	for i, a := range q.attempts {
-		if a.open && r.settings.Bool("caps.cancel") {
+	for i := range q.attempts {
+		a := &q.attempts[i]
+		switch {
+		case !a.open:
+		case r.settings.Bool("caps.cancel"):
 			r.host.Cancel(q.ID, i)
+		case !q.mayHaveRun:
+			r.rememberFirstRun(q, a)
 		}
 	}
 }
