No barrier is sent to a member that the driver knows to be gone

Cause: the pool was told only of list entries with the state draining; an entry that removes a member told it the opposite, and neither a whole list without the member nor a drain notice of another driver reached it.

Change: the module tells its host of each change of a member's availability (driver.Host.SetAvailable), and the host tells the pools.

TestHostIsToldWhichMembersAreAvailable covers all sources at the module. Each attempt of FuzzRules is now also checked against what the host was told.

--- a/driver/driver.go
+++ b/driver/driver.go
@@ -121,6 +121,7 @@
 	Abort(rpc RPC)                              // gives the final answer: an error after which the RPC may have run
 	Probe(m Member)                             // sends a health check
 	CloseIdle(m Member)                         // closes the idle connections to the member
+	SetAvailable(m Member, available bool)      // whether the member may get attempts: not while it drains or is gone
 	// SessionWrote reports the position of a session's latest write, which may be saved and restored after a restart.
 	SessionWrote(session Session, commit time.Duration)
 	Forget(m Member) // the module sends nothing more to the member; if it is listed again, it gets another number
--- a/internal/lab/capacity/driver_state.go
+++ b/internal/lab/capacity/driver_state.go
@@ -88,6 +88,9 @@
 // CloseIdle implements driver.Host; it does nothing.
 func (q *noopHost) CloseIdle(driver.Member) {}
 
+// SetAvailable implements driver.Host.
+func (q *noopHost) SetAvailable(driver.Member, bool) {}
+
 // SessionWrote implements driver.Host; it does nothing.
 func (q *noopHost) SessionWrote(driver.Session, time.Duration) {}
 
--- a/internal/member/barrier.go
+++ b/internal/member/barrier.go
@@ -66,7 +66,7 @@
 		return 0
 	}
 	c.endBarrier()
-	if c.address != c.member.address || c.member.draining {
+	if c.address != c.member.address || c.member.unavailable {
 		c.discard("")
 		return 0
 	}
--- a/internal/member/barrier_test.go
+++ b/internal/member/barrier_test.go
@@ -180,11 +180,12 @@
 	return append(pgwire.AppendHead(nil, 'N', len(text)), text...)
 }
 
-// Guards against a barrier to a member that drains, which would be something new to it, and against a connection to it that is kept.
-func TestNothingIsSentToADrainingMemberBehindItsAnswer(t *testing.T) {
+// Guards against a barrier to a member that drains or is gone, which would be something new to it, and against a connection to it that is
+// kept.
+func TestNothingIsSentToAnUnavailableMemberBehindItsAnswer(t *testing.T) {
 	f := newFixture(t, ms, true)
 	f.send(1, time.Hour+time.Second, time.Hour+time.Second, 100)
-	f.loop.At(time.Hour+4*ms, func() { f.pool.SetDraining(1, true) }) // before the answer
+	f.loop.At(time.Hour+4*ms, func() { f.pool.SetAvailable(1, false) }) // before the answer
 	f.check(t, 1, driver.Misdirected, 1)
 	if f.member.barriers != 0 || f.member.closed != 1 || f.pool.Open() != 0 {
 		t.Errorf("%d barriers, %d connections closed, %d open", f.member.barriers, f.member.closed, f.pool.Open())
--- a/internal/member/connection.go
+++ b/internal/member/connection.go
@@ -164,12 +164,12 @@
 }
 
 // complete ends the attempt with its response and returns the response's size. The connection is used again after a barrier, unless
-// the member closes it, drains, has sent excess bytes, or has changed its address.
+// the member closes it, may get no further attempts, has sent excess bytes, or has changed its address.
 func (c *connection) complete(response *Response, in []byte) (size int) {
 	p, a := c.pool, c.attempt
 	size = response.Size
 	excess := size < len(in)
-	reusable := !excess && !response.CloseAfter && c.address == c.member.address && !c.member.draining
+	reusable := !excess && !response.CloseAfter && c.address == c.member.address && !c.member.unavailable
 	checksum := maphash.Bytes(responseSeed, in)
 	c.attempt, c.written, c.errorReceived, c.respondedAt = nil, false, false, p.loop.Now()
 	p.loop.Cancel(c.timer)
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -38,7 +38,7 @@
 type member struct {
 	id              driver.Member
 	address         netip.AddrPort
-	draining        bool            // no connection is kept for later attempts
+	unavailable     bool            // no connection is kept for later attempts
 	idle            []*connection   // in the order in which they became idle
 	idleTimer       eventloop.Timer // closes the connections that have been idle for too long
 	failureLogAfter time.Duration   // time before which no further failure is logged
@@ -79,10 +79,11 @@
 	}
 }
 
-// SetDraining records whether a member drains. A connection to a member that drains is closed after the response to its attempt.
-func (p *Pool) SetDraining(id driver.Member, draining bool) {
+// SetAvailable records whether a member may get further attempts. A connection to one that may not, as it drains or is gone, is closed
+// after the response to its attempt.
+func (p *Pool) SetAvailable(id driver.Member, available bool) {
 	if m := p.members[id]; m != nil {
-		m.draining = draining
+		m.unavailable = !available
 	}
 }
 
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -77,3 +77,48 @@
 		t.Errorf("a draining member received %d attempts", len(second.seen())-1)
 	}
 }
+
+// Guards against a barrier, which would be something new, to a member whose answer comes once the driver knows that it drains or is gone.
+func TestMembersThatLeaveGetNoBarrier(t *testing.T) {
+	for name, test := range map[string]struct {
+		list     func(m *fakeMember) string
+		barriers int
+	}{
+		"stays": {func(*fakeMember) string { return endpointList(2, false) }, 1},
+		"draining": {func(m *fakeMember) string {
+			return endpointList(2, false, endpointEntry(1, 0, m.listener.Addr(), "terminating"))
+		}, 0},
+		"removed": {func(m *fakeMember) string {
+			return endpointList(2, false, endpointEntry(1, 0, m.listener.Addr(), "terminated"))
+		}, 0},
+		"not listed": {func(*fakeMember) string {
+			return endpointList(2, true, endpointEntry(2, 0, listenLocal(t).Addr(), "in_service"))
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan bool)
+			m := startFakeMember(t, func(c net.Conn, q *receivedQuery) bool {
+				<-release
+				return respondAsLeader(c, q)
+			})
+			calls, answers := make(chan bool, 100), make(chan string)
+			d := startDriver(t, startDiscovery(t, calls, answers), 100, endpointList(1, true, endpointEntry(1, 0, m.listener.Addr(), "in_service")))
+			c := dialPG(t, d.address)
+			<-calls
+			c.Write(queryMessage(taggedStatement("slow", "order", 5000, 0)))
+			waitFor(t, "the attempt reaches the member", func() bool { return len(m.seen()) == 1 })
+			answers <- test.list(m)
+			<-calls // the driver has read the list
+			close(release)
+			if got := c.readAnswer(); got != "ok value of slow" {
+				t.Errorf("the client received %s", got)
+			}
+			time.Sleep(100 * time.Millisecond)
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			if m.barriers != test.barriers {
+				t.Errorf("%d barriers behind the answer, want %d", m.barriers, test.barriers)
+			}
+		})
+	}
+}
--- a/internal/node/fake_member_test.go
+++ b/internal/node/fake_member_test.go
@@ -42,6 +42,7 @@
 	mutex       sync.Mutex
 	queries     []*receivedQuery
 	connections int
+	barriers    int // empty queries
 }
 
 func readMessage(r *bufio.Reader) (kind byte, body []byte, err error) {
@@ -81,6 +82,9 @@
 			return
 		}
 		if len(body) == 1 { // the empty query, which does nothing
+			m.mutex.Lock()
+			m.barriers++
+			m.mutex.Unlock()
 			c.Write(pgwire.AppendEmptyQueryResponse(nil))
 			continue
 		}
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -40,6 +40,11 @@
 // CloseIdle closes the idle connections to a member.
 func (h *moduleHost) CloseIdle(m driver.Member) { h.node.members.closeIdle(m) }
 
+// SetAvailable tells the connection pools whether a member may get attempts.
+func (h *moduleHost) SetAvailable(m driver.Member, available bool) {
+	h.node.members.setAvailable(m, available)
+}
+
 // SessionWrote persists the position of the latest write of a session.
 func (h *moduleHost) SessionWrote(session driver.Session, commit time.Duration) {
 	h.node.learned.sessionWrote(session, commit)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -104,7 +104,6 @@
 	if address.IsValid() {
 		pool.SetAddress(id, address)
 	}
-	pool.SetDraining(id, state == driver.Draining)
 	zoneNumber := driver.Zone(max(0, slices.Index(r.zones, zone)))
 	if n.membership != nil {
 		n.membership.drainGossip.memberListed(uid, listedMember{id, zoneNumber, group, size}, state, started, r.listKind != driver.Cached)
@@ -148,6 +147,13 @@
 	}
 }
 
+// setAvailable tells the pools whether a member may get attempts. Only the pool that has an address for the member heeds it.
+func (r *memberRegistry) setAvailable(m driver.Member, available bool) {
+	for _, p := range r.pools {
+		p.SetAvailable(m, available)
+	}
+}
+
 // openConnections returns the number of connections to all members.
 func (r *memberRegistry) openConnections() (open int) {
 	for _, p := range r.pools {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -366,6 +366,9 @@
 // FetchList implements driver.Host.
 func (i *instance) FetchList() { i.endAct(i.beginAct(actFetch)) }
 
+// SetAvailable implements driver.Host. There is nothing to do, since the simulator keeps the connections.
+func (i *instance) SetAvailable(driver.Member, bool) {}
+
 // Forget implements driver.Host. There is nothing to do, since a member is identified by its address here.
 func (i *instance) Forget(driver.Member) {}
 
--- a/rules/cluster_test.go
+++ b/rules/cluster_test.go
@@ -90,8 +90,9 @@
 	aborted               map[driver.RPC]bool
 	attempts              int
 	unreachable           []driver.Member
-	minDeadlineMillis     int // shortest timeout of a client
-	groupOfRequests       int // 1 more than the group of each request; 0: at random
+	unavailable           map[driver.Member]bool // as the router told the host
+	minDeadlineMillis     int                    // shortest timeout of a client
+	groupOfRequests       int                    // 1 more than the group of each request; 0: at random
 	nextKey               driver.Key
 	nextTimeout           time.Duration // of the next request; 0: at random
 	maxWarmLoad           float64       // largest amount of work that was sent to a warm member in eight windows
@@ -108,7 +109,7 @@
 func newCluster(t testing.TB, seed uint64, checks string, more ...string) *cluster {
 	c := &cluster{t: t, minDeadlineMillis: 1000, now: time.Second, random: pcg.New(seed ^ 0x9e3779b97f4a7c15), membersCheckFreshness: checks != "none",
 		members: map[driver.Member]*simulatedMember{}, rpcs: map[driver.RPC]*simulatedRPC{},
-		pushedBack: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}}
+		pushedBack: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}, unavailable: map[driver.Member]bool{}}
 	settings := testSettings(checks, more...)
 	c.mixed = settings["mixed"] == "true"
 	c.onlyDrainingBinds = settings["rules.only_draining_binds"] == "true"
@@ -183,6 +184,8 @@
 
 func (c *cluster) CloseIdle(driver.Member) {}
 
+func (c *cluster) SetAvailable(m driver.Member, available bool) { c.unavailable[m] = !available }
+
 func (c *cluster) Watch(bool) { c.watches++ }
 
 func (c *cluster) FetchList() {}
--- a/rules/endpoints.go
+++ b/rules/endpoints.go
@@ -92,9 +92,7 @@
 		} else if m.delistedAt == unknownTime {
 			m.delistedAt = r.host.Now()
 		}
-		if m.available = !m.draining && (m.listed || r.onlyDrainingBinds); !m.available && m.group.primary == m {
-			m.group.primary = nil
-		}
+		r.setAvailable(m, !m.draining && (m.listed || r.onlyDrainingBinds))
 	}
 	r.memberList = slices.DeleteFunc(r.memberList, r.removeIfExpired)
 	maps.DeleteFunc(r.groups, func(_ driver.Group, g *group) bool { return len(g.members) == 0 })
@@ -105,6 +103,16 @@
 	}
 }
 
+func (r *Router) setAvailable(m *member, available bool) {
+	if m.available != available {
+		m.available = available
+		r.host.SetAvailable(m.id, available)
+	}
+	if !available && m.group.primary == m {
+		m.group.primary = nil
+	}
+}
+
 // removeIfExpired removes a member that has been off the list and silent for long, unless rules.only_draining_binds needs it
 // to be remembered as draining. It reports whether the member was removed; the caller then removes it from memberList.
 func (r *Router) removeIfExpired(m *member) bool {
--- a/rules/endpoints_test.go
+++ b/rules/endpoints_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,3 +62,21 @@
 		}
 	}
 }
+
+// Guards against a host that keeps connections to a member which drains or is gone, whoever tells the router so.
+func TestHostIsToldWhichMembersAreAvailable(t *testing.T) {
+	for _, onlyDrainingBinds := range []bool{false, true} {
+		c := newCluster(t, 1, "none", fmt.Sprintf("rules.only_draining_binds=%t", onlyDrainingBinds))
+		m := c.ids[0]
+		for _, step := range []struct {
+			state     driver.MemberState
+			available bool
+		}{{driver.Ready, true}, {driver.Gone, onlyDrainingBinds}, {driver.Ready, true}, {driver.Draining, false}, {driver.Gone, false}} {
+			c.members[m].state = step.state
+			c.announce(driver.Changes, m)
+			if c.unavailable[m] == step.available {
+				t.Errorf("only draining binds: %t; in state %d the host was told that the member is available: %t", onlyDrainingBinds, step.state, !c.unavailable[m])
+			}
+		}
+	}
+}
--- a/rules/protocolchecks_test.go
+++ b/rules/protocolchecks_test.go
@@ -56,6 +56,9 @@
 	if by <= c.now || by > q.deadline {
 		c.t.Fatalf("%d is to be sent by %v, at %v", id, by, c.now)
 	}
+	if c.unavailable[to] {
+		c.t.Fatalf("rule 3: attempt to %d, which the host was told to be unavailable", to)
+	}
 	if n.leavingSince >= 0 && c.now > n.leavingSince+drainGrace {
 		c.t.Fatalf("rule 3: attempt to %d, which was listed as leaving %v ago", to, c.now-n.leavingSince)
 	}
