A repeat that the driver rejects itself is aborted if a try may have run

Callers saw, over the platform's listener: a keyed write was aborted, its repeat came while the listener served as many RPCs as it may, and got 53300 ("trying again is harmless") although the first try may have run.

Cause: rejections before the decision module (quota, full table, shutdown) never asked whether an earlier try may have run.

Change: rpcTable.reject asks the module (EarlierTryMayHaveRun) and aborts then. Any other RPC is pushed back as before.

--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -48,7 +48,7 @@
 	e := &endingsCluster{fakeCluster: g}
 	n := buildDriverWithConfig(t, "", 200, endpointList(1, true, g.targets()...), settings, func(free string) string {
 		e.odataAddress = free
-		return officesConfig(free, "repeats { sticky = true }\n", protocol == "pg")
+		return officesConfig(free, "repeats { sticky = true }\n", protocol == "pg") + "front \"pg\" \"platform\" {\nlimits { rpcs = 1 }\n}\n"
 	})
 	e.address = runDriver(t, n).address
 	return e
@@ -319,3 +319,30 @@
 		}
 	})
 }
+
+// Guards against the same promise by a driver that rejects the repeat itself, as its listener serves as many RPCs as it may.
+func TestRepeatOverTheListenersLimitIsNotPushedBack(t *testing.T) {
+	forEachProtocolAndScope(t, func(t *testing.T, e *endingsCluster) {
+		if e.protocol != "pg" {
+			return // these members take no statements
+		}
+		text := func(id, key string, millis int) string {
+			return fmt.Sprintf("/* id=%s,c=order,d=%d,k=key-%s,cluster=0 */ INSERT INTO items (id, doc) VALUES ('%s', 'x')", id, millis, key, key)
+		}
+		c, other := dialPG(t, e.address), dialPG(t, e.address)
+		if got := c.query(t, text("first", "hang-limited", 200)); got != codeAborted {
+			t.Errorf("the first answer is %s, want %s", got, codeAborted)
+		}
+		other.Write(queryMessage(text("other", "hang-other", 900)))
+		waitFor(t, "a member has the other write", func() bool {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			return e.attempts["hang-other"] > 0
+		})
+		for key, want := range map[string]string{"hang-limited": codeAborted, "hang-fresh": codeRejected} {
+			if got := c.query(t, text("second-"+key, key, 900)); got != want {
+				t.Errorf("%s over the limit: %s, want %s", key, got, want)
+			}
+		}
+	})
+}
--- a/internal/node/rpcs.go
+++ b/internal/node/rpcs.go
@@ -78,17 +78,17 @@
 	n.Count("rpcs_taken")
 	deadline, accepts := n.shutdown.bound(incoming.Deadline)
 	if !accepts {
-		return t.reject(front, client, "rpcs_rejected_in_shutdown", "shutdown")
+		return t.reject(front, client, incoming, "rpcs_rejected_in_shutdown", "shutdown")
 	}
 	l := n.listeners.byFront[front]
 	n.recovery.GroupUsed(uint16(incoming.Group))
 	if !l.admits() {
-		return t.reject(front, client, "rpcs_over_quota", "over_quota")
+		return t.reject(front, client, incoming, "rpcs_over_quota", "over_quota")
 	}
 	q := &rpc{listener: l, client: client, pool: n.members.poolOf(incoming.Group), deadline: deadline, group: incoming.Group}
 	handle := t.table.Insert(q)
 	if handle == 0 {
-		return t.reject(front, client, "rpcs_table_full", "table_full")
+		return t.reject(front, client, incoming, "rpcs_table_full", "table_full")
 	}
 	id := driver.RPC(handle)
 	l.rpcsTaken++
@@ -104,10 +104,14 @@
 }
 
 // reject answers an RPC that is not passed to the module.
-func (t *rpcTable) reject(front driver.Front, client driver.Client, counter, reason string) driver.RPC {
+func (t *rpcTable) reject(front driver.Front, client driver.Client, incoming *driver.IncomingRPC, counter, reason string) driver.RPC {
 	t.Count(counter)
 	slog.Debug("RPC rejected", "client", client, "reason", reason)
-	front.PushBack(client, driver.NotRun, 0)
+	if t.node.module.EarlierTryMayHaveRun(incoming.Group, incoming.Key) {
+		front.Abort(client, driver.MayHaveRun)
+	} else {
+		front.PushBack(client, driver.NotRun, 0)
+	}
 	return 0
 }
 
--- a/rules/duplicates.go
+++ b/rules/duplicates.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// EarlierTryMayHaveRun reports whether a try of a keyed RPC may have run, and members still recognize duplicates of it. A host that rejects
+// a repeat itself must not promise then that a retry is harmless: members may have forgotten the try by that time.
+func (r *Router) EarlierTryMayHaveRun(group driver.Group, key driver.Key) bool {
+	return key != 0 && r.firstRuns.find(runKey{group, key}, r.host.Now()) != nil
+}
+
 // boundByRetryWindow limits the time for further attempts of a keyed RPC that may have run.
 func (q *rpc) boundByRetryWindow() {
 	if q.mayHaveRun && q.method.Effect == settings.Keyed {
