All runs of a key bound its repeats, not only the first one

Cause: the module kept the first run of a key and forgot it with its window, and did not record runs of a repeat.

Change: it keeps the runs of a key until members forget the last one; the window for attempts is that of the first.

--- a/rules/cluster_test.go
+++ b/rules/cluster_test.go
@@ -61,6 +61,8 @@
 	firstRunZone              driver.Zone
 	firstRunAt                time.Duration
 	answered, cancelled       bool
+	key                       driver.Key
+	duplicatesUntil           time.Duration // when members forget an earlier try of its key that may have run, 0: there is none
 }
 
 // cluster is a simulated host with eight members in two groups. It checks at each action of the router that the rules of the decision module
@@ -91,14 +93,20 @@
 	attempts              int
 	unreachable           []driver.Member
 	unavailable           map[driver.Member]bool // as the router told the host
-	minDeadlineMillis     int                    // shortest timeout of a client
-	groupOfRequests       int                    // 1 more than the group of each request; 0: at random
+	keyRuns               map[runKey]knownRuns
+	minDeadlineMillis     int // shortest timeout of a client
+	groupOfRequests       int // 1 more than the group of each request; 0: at random
 	nextKey               driver.Key
 	nextTimeout           time.Duration // of the next request; 0: at random
 	maxWarmLoad           float64       // largest amount of work that was sent to a warm member in eight windows
 }
 
-const drainGrace, loadWindow, slowStartDuration = 250 * ms, time.Second, 10 * time.Second
+const drainGrace, loadWindow, slowStartDuration, retryWindow = 250 * ms, time.Second, 10 * time.Second, 1200 * ms
+
+// knownRuns is when the first and the last run of a key were sent, of those that may have taken effect and that members may remember.
+type knownRuns struct{ firstAt, lastAt time.Duration }
+
+func (q *simulatedRPC) runKey() runKey { return runKey{driver.Group(q.group), q.key} }
 
 var testMethods = []struct{ need, effect, repeats string }{
 	{"bounded", "idempotent", "all"}, {"session", "idempotent", "all"}, {"any", "idempotent", "all"},
@@ -109,7 +117,8 @@
 func newCluster(t testing.TB, seed uint64, checks string, more ...string) *cluster {
 	c := &cluster{t: t, minDeadlineMillis: 1000, now: time.Second, random: pcg.New(seed ^ 0x9e3779b97f4a7c15), membersCheckFreshness: checks != "none",
 		members: map[driver.Member]*simulatedMember{}, rpcs: map[driver.RPC]*simulatedRPC{},
-		pushedBack: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}, unavailable: map[driver.Member]bool{}}
+		pushedBack: map[driver.RPC]time.Duration{}, aborted: map[driver.RPC]bool{}, unavailable: map[driver.Member]bool{},
+		keyRuns: map[runKey]knownRuns{}}
 	settings := testSettings(checks, more...)
 	c.mixed = settings["mixed"] == "true"
 	c.onlyDrainingBinds = settings["rules.only_draining_binds"] == "true"
@@ -218,6 +227,10 @@
 		q.deadline = c.now + c.nextTimeout
 	}
 	c.rpcs[c.lastRPC] = q
+	q.key = c.nextKey
+	if runs, known := c.keyRuns[q.runKey()]; known && c.now < runs.lastAt+retryWindow {
+		q.duplicatesUntil = runs.firstAt + retryWindow
+	}
 	sinceWrite := time.Duration(0)
 	if commit > 0 {
 		q.commit, sinceWrite = commit, c.now-commit
@@ -257,6 +270,13 @@
 	if outcome.MayHaveRun() && !q.mayHaveRun {
 		q.mayHaveRun, q.firstRunAt, q.firstRunZone = true, q.sentAt, c.zoneOf(q.member)
 	}
+	if outcome.MayHaveRun() && q.key != 0 {
+		runs, known := c.keyRuns[q.runKey()]
+		if !known || c.now >= runs.lastAt+retryWindow {
+			runs = knownRuns{q.sentAt, q.sentAt}
+		}
+		c.keyRuns[q.runKey()] = knownRuns{min(runs.firstAt, q.sentAt), max(runs.lastAt, q.sentAt)}
+	}
 	if n.servedSinceStart != n.startedAt {
 		n.maxServedLoad, n.servedSinceStart = 0, n.startedAt
 	}
--- a/rules/duplicates_test.go
+++ b/rules/duplicates_test.go
@@ -1,6 +1,7 @@
 package rules
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,22 +55,55 @@
 	}
 }
 
-// Guards against a table of first runs that grows with the keys of clients, and against one that keeps keys that members have forgotten.
-func TestFirstRunsAreBounded(t *testing.T) {
-	var runs firstRuns
-	for i := range 3 * maxFirstRuns {
-		runs.add(&firstRun{key: runKey{key: driver.Key(i)}, forgottenAt: time.Second}, 0)
+// Repeats keyed RPCs at random, with attempts that end in every way. The cluster checks at each attempt and answer that a repeat is bound by the
+// first run of its key.
+func TestRandomRepeatsAreBoundByTheFirstRun(t *testing.T) {
+	outcomes := []driver.Outcome{driver.OK, driver.Full, driver.Failed, driver.NoConnection, driver.Broken, driver.TimedOut}
+	for seed := range uint64(40) {
+		c := newCluster(t, seed, "none", fmt.Sprintf("caps.cancel=%t", seed%2 == 0), "mixed=true")
+		c.traffic(60, 5*ms, 4, 6, 7)
+		bound := 0
+		for range 1500 {
+			switch draw := c.random.Below(100); {
+			case draw < 30:
+				id := c.repeatable([]int{4, 6, 7}[c.random.Below(3)], driver.Key(1+c.random.Below(8)), time.Duration(100+c.random.Below(1900))*ms)
+				if c.rpcs[id].duplicatesUntil > 0 {
+					bound++
+				}
+			case draw < 60 && len(c.openRPCs) > 0:
+				c.endAttempt(c.openRPCs[c.random.Below(len(c.openRPCs))], outcomes[c.random.Below(len(outcomes))])
+			case draw < 63 && len(c.openRPCs) > 0:
+				c.router.ClientHalfClosed(c.openRPCs[c.random.Below(len(c.openRPCs))])
+			case draw < 66 && len(c.openRPCs) > 0:
+				if id := c.openRPCs[c.random.Below(len(c.openRPCs))]; !c.rpcs[id].answered {
+					c.router.AnswerNow(id)
+				}
+			default:
+				c.advance(time.Duration(5+c.random.Below(60)) * ms)
+			}
+		}
+		if bound < 50 {
+			t.Errorf("seed %d: only %d repeats inside a window", seed, bound)
+		}
+	}
+}
+
+// Guards against a table of runs that grows with the keys of clients, and against one that keeps keys that members have forgotten.
+func TestRunsByKeyAreBounded(t *testing.T) {
+	var runs runsByKey
+	for i := range 3 * maxRunKeys {
+		runs.add(&keyRuns{key: runKey{key: driver.Key(i)}, forgottenAt: time.Second}, 0)
 	}
-	for i := range 3 * maxFirstRuns {
-		if found := runs.find(runKey{key: driver.Key(i)}, 1) != nil; found != (i >= 2*maxFirstRuns) {
+	for i := range 3 * maxRunKeys {
+		if found := runs.find(runKey{key: driver.Key(i)}, 1) != nil; found != (i >= 2*maxRunKeys) {
 			t.Fatalf("key %d is known: %t", i, found)
 		}
 	}
-	if runs.find(runKey{group: 1, key: driver.Key(3*maxFirstRuns - 1)}, 1) != nil || runs.find(runKey{key: driver.Key(3*maxFirstRuns - 1)}, time.Second) != nil {
+	if runs.find(runKey{group: 1, key: driver.Key(3*maxRunKeys - 1)}, 1) != nil || runs.find(runKey{key: driver.Key(3*maxRunKeys - 1)}, time.Second) != nil {
 		t.Error("a run of another group, or one that members have forgotten, was found")
 	}
-	runs.add(&firstRun{key: runKey{key: 1}, forgottenAt: 3 * time.Second}, 2*time.Second)
-	if len(runs.byKey) != 1 || runs.oldest.Len() != 1 {
-		t.Errorf("%d keys and %d runs are left, want 1", len(runs.byKey), runs.oldest.Len())
+	runs.add(&keyRuns{key: runKey{key: 1}, forgottenAt: 3 * time.Second}, 2*time.Second)
+	if len(runs.keys) != 1 || runs.oldest.Len() != 1 {
+		t.Errorf("%d keys and %d runs are left, want 1", len(runs.keys), runs.oldest.Len())
 	}
 }
--- a/rules/events.go
+++ b/rules/events.go
@@ -31,7 +31,7 @@
 	}
 	q := &rpc{Request: request, method: r.methods[request.Method], group: r.groupOf(request.Group), takenAt: now, sendBy: request.Deadline, commit: unknownTime}
 	r.rpcs[q.ID], q.inFlightLink.Value = q, q
-	r.boundByFirstRun(q, now)
+	r.boundByEarlierTries(q, now)
 	r.runSkippedScans(now)
 	r.detectPause(now)
 	r.healthCheckBudget = min(r.healthCheckBudget+healthChecksPerRPC, maxHealthCheckBudget)
@@ -80,9 +80,11 @@
 	q.answered = q.answered || complete
 	if !outcome.MayHaveRun() {
 		a.rejectedAt = now
-	} else if !q.mayHaveRun {
-		q.mayHaveRun, q.firstRunAt, q.firstRunZone = true, a.sentAt, m.zone
-		r.rememberFirstRun(q, a)
+	} else {
+		r.rememberRun(q, a)
+		if !q.mayHaveRun {
+			q.mayHaveRun, q.firstRunAt, q.firstRunZone = true, a.sentAt, m.zone
+		}
 	}
 	r.removeIfDone(q)
 	if !q.answered {
--- a/rules/protocolchecks_test.go
+++ b/rules/protocolchecks_test.go
@@ -16,6 +16,9 @@
 	}
 	q.answered = true
 	m := testMethods[q.method]
+	if mayRetry && q.duplicatesUntil > 0 {
+		c.t.Fatalf("rule 2: repeat %d pushed back though an earlier try may have run", id)
+	}
 	if mayRetry && (q.mayHaveRun || q.openAttempts > 0) && m.effect != "idempotent" { // members forget a token, and the client may retry later
 		c.t.Fatalf("rule 2: %d pushed back after it may have run", id)
 	}
@@ -68,6 +71,9 @@
 			c.t.Fatalf("rule 5: %s read sent to a member at position %v, needs %v", m.need, n.reportedPosition, floor)
 		}
 	}
+	if q.duplicatesUntil > 0 && by >= q.duplicatesUntil {
+		c.t.Fatalf("rule 2: repeat %d may reach its member %v after members forget an earlier try", id, by-q.duplicatesUntil)
+	}
 	n.attemptTimes, n.attemptLoads = append(n.attemptTimes, c.now), append(n.attemptLoads, c.router.methods[q.method].typical.value.Seconds())
 	c.checkSlowStart(to)
 	q.openAttempts, q.lastAttempt, q.member, q.sentAt, q.timeoutAt = 1, q.lastAttempt+1, to, c.now, q.deadline
--- a/rules/retries.go
+++ b/rules/retries.go
@@ -83,8 +83,8 @@
 		case !a.open:
 		case r.settings.Bool("caps.cancel"):
 			r.host.Cancel(q.ID, i)
-		case !q.mayHaveRun:
-			r.rememberFirstRun(q, a)
+		default:
+			r.rememberRun(q, a)
 		}
 	}
 }
--- a/rules/router.go
+++ b/rules/router.go
@@ -41,7 +41,7 @@
 	rpcs                                     map[driver.RPC]*rpc
 	queue                                    []*rpc                           // RPCs that wait for a member
 	sessionCommits                           map[driver.Session]time.Duration // position of each session's latest write
-	firstRuns                                firstRuns
+	runs                                     runsByKey                        // of keyed RPCs
 	timers                                   timerqueue.Queue[func()]
 	ticks                                    ticks
 	clockOffset, clockUncertainty            time.Duration // how far the members' clock is ahead of the host's; how far it may be behind that
